--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -62,6 +62,8 @@
         });
         final Map<String, String> settingValues = new HashMap<>();
         flatten("", root.path("settings"), settingValues);
+        // How the simulator hands out the list says nothing of the sockets: a real courier has only what it asks for.
+        settingValues.put("discovery", "on_request");
         environment.forEach((variable, value) -> {
             switch (variable) {
                 case "PROXY_NAME" -> values.put("name", value);
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -312,6 +312,16 @@
         assertEquals(before, rig.first.requests.size());
     }
 
+    /** The settings of a site whose simulator pushes the list say so; on sockets nothing comes unasked. */
+    @Test
+    void theListIsWatchedAlsoWhereTheSimulatorPushesIt() throws IOException {
+        rig.listMode = "pushed";
+        rig.start();
+        rig.await("the watch", () -> rig.watches.size() == 1);
+        rig.watches.get(0).reset();
+        rig.await("the next watch", () -> rig.watches.size() == 2);
+    }
+
     @Test
     void aBrokenWatchIsAskedForAgainFromWhereItStood() throws IOException {
         rig.start();
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -41,6 +41,8 @@
     volatile int noticeStatus = 204;
     int maxOpen = 50;
     int diskMb = 3;
+    /** How the simulator's instances of such a site get the list. */
+    String listMode = "on_request";
     String extraSetting = "\"unheard_of\":[{\"x\":1}]";
     /** Endpoints that the courier knows at its start. */
     String hosts;
@@ -123,12 +125,12 @@
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%d},
                  "known":{"seq":41,"whole":true,"hosts":[%s]},
-                 "settings":{"balancers":1,"my_zone":"a","discovery":"on_request","weights":"nominal",
+                 "settings":{"balancers":1,"my_zone":"a","discovery":"%s","weights":"nominal",
                   "classes":%s,"flavors":["std"],"extra":{"calls_out":12,"per_call":[5],"routes_apart":[false]},
                   "guarantees":{"must_ask_in":10000000,"cold_from":0.5,"cold":1000000,"tip_multiple":2.0},
                   "limits":{"max_open":%d,"most_tries":8,"cancel":true,"idle_close":10000000,"retry_after":true,
                    "connect_timeout":1000000,"max_retry_after":2000000},%s}}"""
-                .formatted(discovery, diskMb, hosts, CLASSES, maxOpen, extraSetting));
+                .formatted(discovery, diskMb, hosts, listMode, CLASSES, maxOpen, extraSetting));
         return config;
     }
 
