--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -873,6 +874,21 @@
         return destination.lanes.get(destination.lanes.size() - 1);
     }
 
+    @Override
+    public String describe(final long now) {
+        final StringBuilder text = new StringBuilder("open " + open + ", calls out " + callsOut + " of "
+                + settings.limits().slots());
+        busy.forEach((id, destination) -> {
+            text.append("; ").append(id).append(": ").append(destination.waiting.size()).append(" wait");
+            for (final Lane lane : destination.lanes) {
+                text.append(String.format(Locale.ROOT, ", %s by %d, %s %d/%.1f, rate %.1f, told %.1f, spacing %.1f, held %d ms",
+                        lane.kind.name(), lane.kind.messagesPerCall(), lane.phase, lane.calls.size(), lane.window, lane.rate, lane.told, lane.spacing,
+                        Math.max(0, Math.max(lane.waitUntilUs, lane.pauseUntilUs) - now) / 1000));
+            }
+        });
+        return text.toString();
+    }
+
     /** How many destinations are kept in mind. */
     int destinationsKnown() {
         return destinations.size();
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -145,4 +145,7 @@
 
     /** All that happened by now has been told, or a wake-up fell due: act on it. */
     void decide(long nowUs);
+
+    /** How things stand, on one line: what waits for each destination, and what holds it back. For the log. */
+    String describe(long nowUs);
 }
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -19,6 +19,10 @@
     private static final long US_PER_MS = 1000;
     /** When the store is full: a message's time in it is some seconds, so that one place is free soon. */
     private static final long FULL_RETRY_US = 1_000_000;
+    /** How often the log tells how things stand, while messages pile up. */
+    private static final long STATUS_MS = 5_000;
+    /** Share of the store that makes a pile. */
+    private static final double PILE_SHARE = 0.1;
 
     /** Where the answer to a client goes. */
     interface Reply {
@@ -97,9 +101,16 @@
         if (resumed > 0) {
             Log.info("resumed " + resumed + " messages");
         }
+        loop.scheduleWithFixedDelay(this::tell, STATUS_MS, STATUS_MS, TimeUnit.MILLISECONDS);
         touch();
     }
 
+    private void tell() {
+        if (messages.size() > PILE_SHARE * config.settings().limits().maxOpen()) {
+            Log.info(control.describe(clock.nowUs()));
+        }
+    }
+
     private void resume(final Held held, final int index) {
         final Open open = new Open(held, config.settings().classes().get(index),
                 clock.fromWallUs(held.validUntilWallUs), null);
