Let unsafe messages share calls: alone they used up limits that count calls

A licence-order never shared a call, and being nearly always the most urgent it took each call that the limit allowed; the rest starved behind it. Ruled out: windows (5 to 9, unused), waits and pauses (0 to 120 ms), outages taken for real (big-agents stayed WELL), resets (they hit small partners alike, whose lines stayed short).

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -309,7 +309,7 @@
         final long lineUs = destination.lineUs();
         for (final Job job : destination.waiting) {
             if (!inTurn(job) || !endsInTime(lane, job) || node == null && choose(lane, job) == null
-                    || node != null && (!zoneAllows(job, node) || job.kind.effect() == Effect.UNSAFE)) {
+                    || node != null && !zoneAllows(job, node)) {
                 continue;
             }
             final double urgency = urgency(lane, job, lineUs);
@@ -407,7 +407,7 @@
             lane.nextTrialUs = trialUs(lane);
         }
         Job job = first;
-        final boolean alone = lane.phase == Phase.OUT || first.kind.effect() == Effect.UNSAFE;
+        final boolean alone = lane.phase == Phase.OUT;
         while (job != null) {
             call.messages++;
             call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(lane, job));
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -545,6 +545,20 @@
         assertEquals(1, told.count("second"));
     }
 
+    /** A limit counts calls: where each of one class takes a call of its own, a line of them leaves no other room. */
+    @Test
+    void unsafeMessagesShareACallToo() {
+        final Scene shared = new Scene(Scene.settings(16, 5, false, false));
+        for (int index = 0; index < 5; index++) {
+            shared.take("m" + index, index % 2 == 0 ? UNSAFE : SAFE);
+        }
+        shared.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        assertEquals(5, shared.sent.size());
+        shared.take("next", SAFE);
+        shared.take("last", SAFE);
+        assertEquals(6, shared.sent.size(), "the five take one call of a window of two");
+    }
+
     @Test
     void messagesThatWaitTogetherShareACall() {
         final Scene shared = new Scene(Scene.settings(16, 5, false, false));
