End a message when its time is up, whatever time-out its call goes by

A call with several messages waits for the longest of their time-outs, and a timer ended a message only where its own time-out was its whole time left; one with a short time-out in a long call had none, and its end came with the call. Now each message's time ends it. And the decisions let only messages with the same kind of time-out share a call: those that may go again, and those that may not, so that a hung call does not hold the former for as long. Ruled out: the notices (a capture shows each answered 204 within 0.1 ms).

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -301,15 +301,15 @@
         return (int) Math.max(1, Math.floor(Math.min(lane.window, share * settings.limits().slots())));
     }
 
-    /** The most urgent message for a lane (a node, if given); trials risk first what is lost anyway. */
-    private Job pick(final Destination destination, final Lane lane, final Node node) {
+    /** The most urgent message for a lane (for a call of it, if given); trials risk first what is lost anyway. */
+    private Job pick(final Destination destination, final Lane lane, final Call call) {
         Job best = null;
         int bestRisk = 0;
         double bestUrgency = 0;
         final long lineUs = destination.lineUs();
         for (final Job job : destination.waiting) {
-            if (!inTurn(job) || !endsInTime(lane, job) || node == null && choose(lane, job) == null
-                    || node != null && !zoneAllows(job, node)) {
+            if (!inTurn(job) || !endsInTime(lane, job) || call == null && choose(lane, job) == null
+                    || call != null && !mayShare(job, call)) {
                 continue;
             }
             final double urgency = urgency(lane, job, lineUs);
@@ -370,6 +370,11 @@
         return best;
     }
 
+    /** A call has one time-out: what may go again is not held for as long as what may not. */
+    private static boolean mayShare(final Job job, final Call call) {
+        return zoneAllows(job, call.node) && call.unsafe == (job.kind.effect() == Effect.UNSAFE);
+    }
+
     /** False where an earlier attempt may have run and this endpoint would not know the repeat. */
     private static boolean zoneAllows(final Job job, final Node node) {
         return !job.mayHaveRun || !job.kind.zoneKeyed() || node.entry.zone().equals(job.runZone);
@@ -410,13 +415,14 @@
         final boolean alone = lane.phase == Phase.OUT;
         while (job != null) {
             call.messages++;
+            call.unsafe = job.kind.effect() == Effect.UNSAFE;
             call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(lane, job));
             job.call = call;
             job.attempts++;
             job.destination.waiting.remove(job);
             actions.send(job.message.id(), node.entry.id(), timeoutUs(lane, job));
             final boolean full = alone || call.messages >= lane.kind.messagesPerCall();
-            job = full ? null : pick(job.destination, lane, node);
+            job = full ? null : pick(job.destination, lane, call);
         }
         call.size = call.messages;
         lane.lastWeight = 1 + FURTHER_WEIGHT * (call.size - 1);
@@ -985,6 +991,8 @@
         /** It went over a connection that was kept, as far as is known here; and that alone made it fail. */
         private boolean reused, stale;
         private boolean calledOff;
+        /** It carries what may not be sent twice. */
+        private boolean unsafe;
 
         private long overdueUs() {
             return sentUs + Math.max(OVERDUE_LEAST_US, (long) (OVERDUE_TIMES * expectedUs));
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -216,9 +216,9 @@
         calls.add(call);
         later(call, call.deadlineUs - call.sentUs, () -> abandon(call, Result.TIMED_OUT));
         for (final Host.Parcel parcel : call.parcels) {
-            final long untilUs = call.sentUs + parcel.timeoutUs();
-            if (untilUs < call.deadlineUs && untilUs >= parcel.open().validUntilUs - US_PER_MS) {
-                later(call, parcel.timeoutUs(), () -> expire(call, parcel));
+            // Its own time-out does not free it, for its call is still out; but no call outlives a message's time.
+            if (parcel.open().validUntilUs < call.deadlineUs) {
+                later(call, parcel.open().validUntilUs - call.sentUs, () -> expire(call, parcel));
             }
         }
         call.started = true;
