--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -70,6 +70,8 @@
     private final Map<Long, List<Parcel>> outbox = new LinkedHashMap<>();
     private final List<Open> unanswered = new ArrayList<>();
     private boolean passDue;
+    /** Since the log last told how things stand: nothing else happens on the loop during a pass. */
+    private long longestPassUs;
 
     Host(final Config config, final EventLoop loop, final Clock clock, final Journal journal) {
         this.config = config;
@@ -107,8 +109,9 @@
 
     private void tell() {
         if (messages.size() > PILE_SHARE * config.settings().limits().maxOpen()) {
-            Log.info(control.describe(clock.nowUs()));
+            Log.info("longest pass " + longestPassUs / US_PER_MS + " ms; " + control.describe(clock.nowUs()));
         }
+        longestPassUs = 0;
     }
 
     private void resume(final Held held, final int index) {
@@ -212,6 +215,7 @@
 
     private void pass() {
         passDue = false;
+        final long fromUs = clock.nowUs();
         try {
             control.decide(clock.nowUs());
         } catch (final RuntimeException | Error e) {
@@ -221,6 +225,7 @@
         outbox.forEach(this::sendAll);
         outbox.clear();
         notices.flush();
+        longestPassUs = Math.max(longestPassUs, clock.nowUs() - fromUs);
     }
 
     /** What was taken and not ended in the same pass is taken on. */
