Keep dead calls from holding a lane out, or from putting it there

A trace shows it OUT from 10.3 s, not one trial until 22.0 s, and the first one delivered: an OUT lane was tried only once no call of it was out, and a licence-order whose connection had died in silence waits for its whole time. Such a call keeps its slot but leaves the window once it is overdue. And three of them made a lane look silent whose other endpoints answered: now silence counts only where nothing of the lane has answered since. Ruled out: the silent endpoint itself (its neighbour served in the last 66 ms, and both endpoints answered other connections), late passes (20 ms at most).

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -281,24 +281,33 @@
 
     /** When a lane's waits and guards let a call go; never, while its window is full. */
     private long openAtUs(final Lane lane) {
-        if (lane.calls.size() >= cap(lane)) {
+        final long live = lane.calls.stream().filter(call -> !call.unsafe || nowUs < call.overdueUs()).count();
+        if (live >= cap(lane) || lane.calls.size() >= share(lane)) {
             return NEVER;
         }
         final boolean exact = settings.weights() == Weights.NOMINAL && lane.told > 0;
         final double rate = exact ? Math.min(lane.told, lane.spacing) : lane.spacing;
         final long guardUs = switch (lane.phase) {
             case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
-            case OUT -> lane.calls.isEmpty() ? lane.nextTrialUs : NEVER;
+            case OUT -> live == 0 ? lane.nextTrialUs : NEVER;
             case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
                     / tippingShare(nowUs - lane.rampFromUs));
         };
         return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
     }
 
-    /** Calls that a lane may have in flight now: its window, within its share of the slots. */
+    /**
+     * Calls that a lane may have in flight now: its window, within its share of the slots. An overdue call that may not
+     * go again has no time-out but its message's time. It holds a slot and counts against the share; but its destination
+     * may long serve again, or only its connection be dead: a window that it filled would let nothing find that out.
+     */
     private int cap(final Lane lane) {
+        return (int) Math.max(1, Math.floor(Math.min(lane.window, share(lane))));
+    }
+
+    private int share(final Lane lane) {
         final double share = lane.phase == Phase.WELL && !lane.slow ? HEALTHY_SHARE : SICK_SHARE;
-        return (int) Math.max(1, Math.floor(Math.min(lane.window, share * settings.limits().slots())));
+        return (int) Math.max(1, Math.floor(share * settings.limits().slots()));
     }
 
     /** The most urgent message for a lane (for a call of it, if given); trials risk first what is lost anyway. */
@@ -542,7 +551,7 @@
                 learn(lane, job, outcome.durationUs());
                 lane.delivered++;
                 lane.served += part;
-                node.lastServedUs = nowUs;
+                node.lastServedUs = lane.lastServedUs = nowUs;
                 node.badRun[kind] = 0;
                 node.avoidUntilUs[kind] = 0;
                 lane.badRun = 0;
@@ -606,7 +615,7 @@
     /** Adds to a lane's run of bad outcomes; a long run, or a high share of failures, is an outage. */
     private void suspect(final Lane lane, final double weight) {
         lane.badRun += weight;
-        final boolean out = lane.badRun + overdue(lane) >= OUT_WEIGHT || lane.failShare > OUT_SHARE;
+        final boolean out = lane.badRun + silence(lane) >= OUT_WEIGHT || lane.failShare > OUT_SHARE;
         if (out && lane.phase != Phase.OUT) {
             lane.phase = Phase.OUT;
             lane.window = WINDOW_FLOOR;
@@ -627,6 +636,12 @@
         return count;
     }
 
+    /** Of these, the ones that tell of the whole lane: none of its endpoints has answered since half-way to overdue. */
+    private long silence(final Lane lane) {
+        return overdue(lane) == 0 ? 0 : lane.calls.stream().filter(call -> nowUs >= call.overdueUs()
+                && lane.lastServedUs < call.sentUs + (call.overdueUs() - call.sentUs) / 2).count();
+    }
+
     /**
      * Silence may not eat the slots: while all are taken and a message could go elsewhere, the call longest
      * overdue is called off. Covers hung, stalled and very slow ones; hurts where one would have answered.
@@ -955,7 +970,7 @@
         private double badRun, failShare, rampSpanUs;
         /** Since when nothing was served there; never, while all is well. */
         private long troubleFromUs = NEVER;
-        private long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs;
+        private long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs, lastServedUs;
 
         private Lane(final Kind kind, final double window) {
             this.kind = kind;
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -12,6 +12,8 @@
 import driftchute.Courier.Update;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -504,6 +506,55 @@
         assertTrue(well >= 2 * sick, "the other class goes on there: " + well);
     }
 
+    /** What may not be repeated waits for its answer to the end, at one endpoint of two: the other one serves on. */
+    @Test
+    void anEndpointThatFallsSilentDoesNotStopItsDestination() {
+        scene.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"), Scene.endpoint(2, DEST, "a"));
+        serveFor(8);
+        for (int index = 0; index < 8; index++) {
+            scene.take("pay" + index, UNSAFE);
+        }
+        scene.pass(100 * MS);
+        answerAt(2);
+        assertTrue(out().count() >= 3, "enough are stuck to look like an outage");
+        for (int round = 0; round < 100; round++) {
+            scene.take("late" + round, SAFE);
+            scene.pass(100 * MS);
+            answerAt(2);
+        }
+        final long served = IntStream.range(50, 100).filter(round -> scene.count("late" + round) > 0).count();
+        assertTrue(served >= 45, "of the last 50: " + served);
+    }
+
+    /** What may not be repeated still waits for its answer when its destination has long been back. */
+    @Test
+    void callsThatAreStuckDoNotKeepADestinationFromBeingTriedAgain() {
+        serveFor(8);
+        for (int index = 0; index < 4; index++) {
+            scene.take("pay" + index, UNSAFE);
+        }
+        scene.pass(4 * SECOND);
+        final List<String> stuck = out().toList();
+        assertTrue(stuck.size() >= 3, "an outage: " + stuck);
+        for (int round = 0; round < 60; round++) {
+            scene.take("late" + round, SAFE);
+            scene.pass(100 * MS);
+            out().filter(id -> !stuck.contains(id)).toList().forEach(id -> scene.end(id, Result.DELIVERED));
+        }
+        assertTrue(stuck.stream().allMatch(id -> scene.ended(id) == 0), "still out");
+        final long served = IntStream.range(0, 60).filter(round -> scene.ended("late" + round) > 0).count();
+        assertTrue(served >= 10, "of 60, on the ramp of a cold destination: " + served);
+    }
+
+    private Stream<String> out() {
+        return scene.sent.stream().map(Scene.Sent::id).distinct().filter(id -> scene.count(id) > scene.ended(id));
+    }
+
+    private void answerAt(final long endpoint) {
+        out().filter(id -> scene.last(id).endpoint() == endpoint).toList()
+                .forEach(id -> scene.end(id, Result.DELIVERED));
+    }
+
     /** A hung destination returns nothing, and Table I alone would let its window grow. */
     @Test
     void aSilentDestinationIsReadAsAnOutage() {
