Take a burst of refusals behind a success for crowding, not for an outage

A lane with ten calls in flight gets that whenever the limit is reached: its calls are turned away together.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -615,7 +615,9 @@
     /** Adds to a lane's run of bad outcomes; a long run, or a high share of failures, is an outage. */
     private void suspect(final Lane lane, final double weight) {
         lane.badRun += weight;
-        final boolean out = lane.badRun + silence(lane) >= OUT_WEIGHT || lane.failShare > OUT_SHARE;
+        // Many calls in flight are turned away together: a run of refusals right behind a success is crowding.
+        final boolean run = lane.badRun + silence(lane) >= OUT_WEIGHT && nowUs - lane.lastServedUs >= PAUSE_US;
+        final boolean out = run || lane.failShare > OUT_SHARE;
         if (out && lane.phase != Phase.OUT) {
             lane.phase = Phase.OUT;
             lane.window = WINDOW_FLOOR;
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -546,6 +546,28 @@
         assertTrue(served >= 10, "of 60, on the ramp of a cold destination: " + served);
     }
 
+    /** What is in flight together is turned away together, in less time than anything could be served. */
+    @Test
+    void aBurstOfRefusalsBehindASuccessIsNoOutage() {
+        for (int round = 0; round < 100; round++) {
+            for (int index = 0; index < 6; index++) {
+                scene.take("busy" + round + "-" + index, SAFE);
+            }
+            scene.pass(100 * MS);
+            out().toList().forEach(id -> scene.end(id, Result.DELIVERED));
+            out().toList().forEach(id -> scene.end(id, Result.DELIVERED));
+        }
+        for (int index = 0; index < 20; index++) {
+            scene.take("m" + index, SAFE);
+        }
+        final List<String> together = out().toList();
+        assertTrue(together.size() >= 7, "enough to weigh like an outage: " + together);
+        scene.end(together.get(0), Result.DELIVERED);
+        together.subList(1, together.size()).forEach(id -> scene.end(id, Result.REFUSED));
+        scene.pass(2 * SECOND);
+        assertTrue(out().count() >= 2, "not a lone trial: " + out().toList());
+    }
+
     private Stream<String> out() {
         return scene.sent.stream().map(Scene.Sent::id).distinct().filter(id -> scene.count(id) > scene.ended(id));
     }
