Send unsafe messages over fresh connections where kept ones were reset lately

After a reset of a kept connection, its endpoint gets unsafe messages over fresh ones for as long as one would be kept. Safe messages go on using kept ones: they are sent again.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -410,9 +410,13 @@
         callsOut++;
         lane.calls.add(call);
         lane.peak = Math.max(lane.peak, lane.calls.size());
-        if (node.inFlight++ == 0) {
+        if (first.kind.effect() == Effect.UNSAFE && nowUs < node.staleUntilUs) {
+            node.connections = node.inFlight;
+            actions.closeIdle(node.entry.id());
+        } else if (node.inFlight == 0) {
             checkIdle(call, node, first);
         }
+        node.inFlight++;
         final int streams = settings.limits().multiplex();
         call.reused = node.connections * streams >= node.inFlight;
         node.connections = Math.max(node.connections, (node.inFlight + streams - 1) / streams);
@@ -586,6 +590,7 @@
                     lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
                     node.badRun[kind] += part;
                     node.connections = 0;
+                    node.staleUntilUs = nowUs + settings.limits().idleCloseUs();
                     actions.closeIdle(node.entry.id());
                     return;
                 }
@@ -990,6 +995,8 @@
         private final double[] badRun;
         private final long[] avoidUntilUs;
         private long lastUseUs, lastSendUs, lastServedUs;
+        /** Until when its kept connections are not trusted with what may not go again: a reset there ends it. */
+        private long staleUntilUs;
 
         private Node(final Endpoint entry, final Lane lane, final int classes) {
             this.badRun = new double[classes];
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -568,6 +568,27 @@
         assertTrue(out().count() >= 2, "not a lone trial: " + out().toList());
     }
 
+    /** A reset of a kept connection costs a safe message a little time, and an unsafe one its end. */
+    @Test
+    void anUnsafeMessageGetsAFreshConnectionWhereKeptOnesWereReset() {
+        scene.list(Update.WHOLE, Scene.endpoint(1, DEST, "a"));
+        serveFor(2);
+        scene.take("safe", SAFE);
+        scene.end("safe", Result.RESET);
+        scene.end("safe", Result.DELIVERED);
+        scene.closed.clear();
+        scene.take("again", SAFE);
+        assertTrue(scene.closed.isEmpty(), "a safe one may try a kept connection");
+        scene.end("again", Result.DELIVERED);
+        scene.take("pay", UNSAFE);
+        assertEquals(List.of(1L), scene.closed);
+        scene.end("pay", Result.DELIVERED);
+        serveFor(11);
+        scene.closed.clear();
+        scene.take("pay later", UNSAFE);
+        assertTrue(scene.closed.isEmpty(), "no reset for as long as a connection is kept");
+    }
+
     private Stream<String> out() {
         return scene.sent.stream().map(Scene.Sent::id).distinct().filter(id -> scene.count(id) > scene.ended(id));
     }
