Pace sends by the limit that answers tell, also where list weights are rough

A lane found the limit anew by being refused, after each pause. Now it sends at the courier's even part of the reported limit or, if more, at what it uses and a quarter of what is left, so that one alone may use it all.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -71,6 +71,8 @@
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
     private static final double SPACING = 1.2;
     private static final double SPACING_LEAST = 0.5;
+    /** Part of a limit's unused share that one courier takes: another may take to it at the same moment. */
+    private static final double LEFT_PART = 0.25;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
     /** Weights in the run of bad outcomes, where a failure weighs 1: crowding refuses too, errors mix. */
@@ -285,8 +287,7 @@
         if (live >= cap(lane) || lane.calls.size() >= share(lane)) {
             return NEVER;
         }
-        final boolean exact = settings.weights() == Weights.NOMINAL && lane.told > 0;
-        final double rate = exact ? Math.min(lane.told, lane.spacing) : lane.spacing;
+        final double rate = Math.min(partOfLimit(lane), lane.spacing);
         final long guardUs = switch (lane.phase) {
             case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
             case OUT -> live == 0 ? lane.nextTrialUs : NEVER;
@@ -296,6 +297,19 @@
         return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
     }
 
+    /**
+     * Calls a second that a lane may make of the limit that its destination tells in its answers: this courier's even
+     * part or, where the others leave some, what it uses and a quarter of what is left. Failing a report, the whole of an
+     * exact weight.
+     */
+    private double partOfLimit(final Lane lane) {
+        if (lane.reportedLimit > 0) {
+            return Math.max(lane.reportedLimit / settings.couriers(),
+                    lane.callRate + LEFT_PART * lane.shareLeft * lane.reportedLimit);
+        }
+        return settings.weights() == Weights.NOMINAL && lane.told > 0 ? lane.told : Double.POSITIVE_INFINITY;
+    }
+
     /**
      * Calls that a lane may have in flight now: its window, within its share of the slots. An overdue call that may not
      * go again has no time-out but its message's time. It holds a slot and counts against the share; but its destination
@@ -542,7 +556,8 @@
         final Lane lane = node.lane;
         if (outcome.allowance() != null) {
             lane.allowance = outcome.allowance();
-            lane.told = lane.allowance.callsPerSecond();
+            lane.told = lane.reportedLimit = lane.allowance.callsPerSecond();
+            lane.shareLeft = lane.allowance.shareLeft();
         }
         final int kind = job.message.messageClass();
         final double part = 1.0 / call.size;
@@ -972,6 +987,8 @@
         private double lastWeight = 1;
         /** The limit told (0: none), and the sends allowed now, a second. */
         private double told, spacing = Double.POSITIVE_INFINITY;
+        /** What the last report told: the limit (0: none), and the share of it that was left. */
+        private double reportedLimit, shareLeft;
         private boolean slow;
         private Phase phase = Phase.WELL;
         private double badRun, failShare, rampSpanUs;
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -589,6 +589,24 @@
         assertTrue(scene.closed.isEmpty(), "no reset for as long as a connection is kept");
     }
 
+    /** Two couriers of one limit: each keeps to its part, and takes to the other's where that is left unused. */
+    @ParameterizedTest
+    @CsvSource({"0, 8, 12", "1, 13, 30"})
+    void aLimitThatAnswersTellIsSharedOut(final double shareLeft, final long least, final long most) {
+        for (int tenth = 0; tenth < 100; tenth++) {
+            for (int index = 0; index < 4; index++) {
+                scene.take("m" + tenth + "-" + index, SAFE);
+            }
+            for (int step = 0; step < 10; step++) {
+                out().toList().forEach(id -> scene.deliver(id, new Courier.Allowance(shareLeft, 20)));
+                scene.pass(10 * MS);
+            }
+        }
+        final long lastUs = scene.nowUs - SECOND;
+        final long sends = scene.sent.stream().filter(send -> send.atUs() >= lastUs).count();
+        assertTrue(sends >= least && sends <= most, "a second, of a limit of 20: " + sends);
+    }
+
     private Stream<String> out() {
         return scene.sent.stream().map(Scene.Sent::id).distinct().filter(id -> scene.count(id) > scene.ended(id));
     }
--- a/src/test/java/driftchute/Scene.java
+++ b/src/test/java/driftchute/Scene.java
@@ -123,12 +123,23 @@
         control.decide(nowUs);
     }
 
+    /** Delivers a message, with what its destination tells of its limit. */
+    void deliver(final String id, final Courier.Allowance allowance) {
+        tell(id, Courier.Result.DELIVERED, 0, allowance);
+        control.decide(nowUs);
+    }
+
     /** As {@link #end}, without letting the courier decide yet. */
     void tell(final String id, final Courier.Result result, final long waitUs) {
+        tell(id, result, waitUs, null);
+    }
+
+    private void tell(final String id, final Courier.Result result, final long waitUs,
+                      final Courier.Allowance allowance) {
         final Sent last = last(id);
         outcomes.merge(id, 1, Integer::sum);
         control.onOutcome(nowUs, new Courier.Outcome(id, result, result == Courier.Result.DELIVERED, last.endpoint(),
-                nowUs - last.atUs(), waitUs, null));
+                nowUs - last.atUs(), waitUs, allowance));
     }
 
     /** Lets time pass, with the reminders that were asked for. */
