--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -298,9 +298,9 @@
     }
 
     /**
-     * Calls a second that a lane may make of the limit that its destination tells in its answers: this courier's even
-     * part or, where the others leave some, what it uses and a quarter of what is left. Failing a report, the whole of an
-     * exact weight.
+     * Calls a second that a lane may make of the limit that its destination tells in its answers: this courier's
+     * even part or, where the others leave some, what it uses and a quarter of what is left. Failing a report, the
+     * whole of an exact weight.
      */
     private double partOfLimit(final Lane lane) {
         if (lane.reportedLimit > 0) {
@@ -311,9 +311,10 @@
     }
 
     /**
-     * Calls that a lane may have in flight now: its window, within its share of the slots. An overdue call that may not
-     * go again has no time-out but its message's time. It holds a slot and counts against the share; but its destination
-     * may long serve again, or only its connection be dead: a window that it filled would let nothing find that out.
+     * Calls that a lane may have in flight now: its window, within its share of the slots. An overdue call that
+     * may not go again has no time-out but its message's time. It holds a slot and counts against the share; but
+     * its destination may long serve again, or only its connection be dead: a window that it filled would let
+     * nothing find that out.
      */
     private int cap(final Lane lane) {
         return (int) Math.max(1, Math.floor(Math.min(lane.window, share(lane))));
@@ -658,7 +659,7 @@
         return count;
     }
 
-    /** Of these, the ones that tell of the whole lane: none of its endpoints has answered since half-way to overdue. */
+    /** Of these, those that tell of the whole lane: none of its endpoints has served since half-way to overdue. */
     private long silence(final Lane lane) {
         return overdue(lane) == 0 ? 0 : lane.calls.stream().filter(call -> nowUs >= call.overdueUs()
                 && lane.lastServedUs < call.sentUs + (call.overdueUs() - call.sentUs) / 2).count();
