--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -283,7 +283,8 @@
 
     /** When a lane's waits and guards let a call go; never, while its window is full. */
     private long openAtUs(final Lane lane) {
-        final long live = lane.calls.stream().filter(call -> !call.unsafe || nowUs < call.overdueUs()).count();
+        final long live = lane.calls.stream()
+                .filter(call -> !call.unsafe || nowUs < call.overdueUs()).count();
         if (live >= cap(lane) || lane.calls.size() >= share(lane)) {
             return NEVER;
         }
@@ -298,9 +299,9 @@
     }
 
     /**
-     * Calls a second that a lane may make of the limit that its destination tells in its answers: this courier's
-     * even part or, where the others leave some, what it uses and a quarter of what is left. Failing a report, the
-     * whole of an exact weight.
+     * Calls a second that a lane may make of the limit that its destination tells in its answers: this
+     * courier's even part or, where the others leave some, what it uses and a quarter of what is left.
+     * Failing a report, the whole of an exact weight.
      */
     private double partOfLimit(final Lane lane) {
         if (lane.reportedLimit > 0) {
@@ -311,10 +312,10 @@
     }
 
     /**
-     * Calls that a lane may have in flight now: its window, within its share of the slots. An overdue call that
-     * may not go again has no time-out but its message's time. It holds a slot and counts against the share; but
-     * its destination may long serve again, or only its connection be dead: a window that it filled would let
-     * nothing find that out.
+     * Calls that a lane may have in flight now: its window, within its share of the slots. An overdue call
+     * that may not go again has no time-out but its message's time. It holds a slot and counts against the
+     * share; but its destination may long serve again, or only its connection be dead: a window that it
+     * filled would let nothing find that out.
      */
     private int cap(final Lane lane) {
         return (int) Math.max(1, Math.floor(Math.min(lane.window, share(lane))));
@@ -325,7 +326,7 @@
         return (int) Math.max(1, Math.floor(share * settings.limits().slots()));
     }
 
-    /** The most urgent message for a lane (for a call of it, if given); trials risk first what is lost anyway. */
+    /** The most urgent message for a lane (or a call of it); trials risk first what is lost anyway. */
     private Job pick(final Destination destination, final Lane lane, final Call call) {
         Job best = null;
         int bestRisk = 0;
@@ -636,8 +637,9 @@
     /** Adds to a lane's run of bad outcomes; a long run, or a high share of failures, is an outage. */
     private void suspect(final Lane lane, final double weight) {
         lane.badRun += weight;
-        // Many calls in flight are turned away together: a run of refusals right behind a success is crowding.
-        final boolean run = lane.badRun + silence(lane) >= OUT_WEIGHT && nowUs - lane.lastServedUs >= PAUSE_US;
+        // Calls in flight are turned away together: a run of refusals right behind a success is crowding.
+        final boolean run = lane.badRun + silence(lane) >= OUT_WEIGHT
+                && nowUs - lane.lastServedUs >= PAUSE_US;
         final boolean out = run || lane.failShare > OUT_SHARE;
         if (out && lane.phase != Phase.OUT) {
             lane.phase = Phase.OUT;
@@ -659,7 +661,7 @@
         return count;
     }
 
-    /** Of these, those that tell of the whole lane: none of its endpoints has served since half-way to overdue. */
+    /** Of these, those that tell of the whole lane: nothing of it was served since half-way to overdue. */
     private long silence(final Lane lane) {
         return overdue(lane) == 0 ? 0 : lane.calls.stream().filter(call -> nowUs >= call.overdueUs()
                 && lane.lastServedUs < call.sentUs + (call.overdueUs() - call.sentUs) / 2).count();
@@ -925,8 +927,10 @@
         busy.forEach((id, destination) -> {
             text.append("; ").append(id).append(": ").append(destination.waiting.size()).append(" wait");
             for (final Lane lane : destination.lanes) {
-                text.append(String.format(Locale.ROOT, ", %s by %d, %s %d/%.1f, rate %.1f, told %.1f, spacing %.1f, held %d ms",
-                        lane.kind.name(), lane.kind.messagesPerCall(), lane.phase, lane.calls.size(), lane.window, lane.rate, lane.told, lane.spacing,
+                text.append(String.format(Locale.ROOT,
+                        ", %s by %d, %s %d/%.1f, rate %.1f, told %.1f, spacing %.1f, held %d ms",
+                        lane.kind.name(), lane.kind.messagesPerCall(), lane.phase, lane.calls.size(),
+                        lane.window, lane.rate, lane.told, lane.spacing,
                         Math.max(0, Math.max(lane.waitUntilUs, lane.pauseUntilUs) - now) / 1000));
             }
         });
@@ -1013,7 +1017,7 @@
         private final double[] badRun;
         private final long[] avoidUntilUs;
         private long lastUseUs, lastSendUs, lastServedUs;
-        /** Until when its kept connections are not trusted with what may not go again: a reset there ends it. */
+        /** Until when its kept connections are not trusted with what may not go again. */
         private long staleUntilUs;
 
         private Node(final Endpoint entry, final Lane lane, final int classes) {
