Add the second address: endpoints taken out by hand, and a drain of the courier

Management answers on a thread of its own; Orders keeps what was ordered in one file of the state folder, which is read before each decision and each answer to /up. Control bars an endpoint, takes its resets for the restart that they are, and lets it come back as a cold one.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -24,7 +25,7 @@
  * <li>A lane that returns nothing but trouble is OUT: single trials, as many as a cold one bears; after the
  * first success it is on a RAMP, paced under the tipping rate until it is surely warm.
  * <li>What can be in time no more, or gains least when the store is full, is refused where that is harmless.
- * <li>The list is followed; nothing new goes to an endpoint that drains or is gone.
+ * <li>The list is followed; nothing new goes to an endpoint that drains or is gone, or that operators bar.
  * </ol>
  */
 public final class Control implements Courier {
@@ -230,6 +231,32 @@
         }
     }
 
+    @Override
+    public void onBarred(final long now, final Set<Long> endpoints) {
+        nowUs = now;
+        for (final Node node : nodes.values()) {
+            final boolean back = node.barred && !endpoints.contains(node.entry.id());
+            node.barred = endpoints.contains(node.entry.id());
+            if (back) {
+                comeBack(node);
+            }
+        }
+    }
+
+    /** What was taken out has been restarted: it is cold, and so is a destination that has no other. */
+    private void comeBack(final Node node) {
+        node.backUs = nowUs;
+        Arrays.fill(node.badRun, 0);
+        Arrays.fill(node.avoidUntilUs, 0);
+        final Lane lane = node.lane;
+        final boolean alone = lane.nodes.stream().noneMatch(other -> other != node && other.isOpen());
+        if (lane.phase == Phase.WELL && alone) {
+            lane.phase = Phase.RAMP;
+            lane.rampFromUs = nowUs;
+            lane.rampSpanUs = apartUs(lane);
+        }
+    }
+
     @Override
     public void onExpired(final long now, final String messageId) {
         nowUs = now;
@@ -378,15 +405,18 @@
         double bestLoad = 0;
         final int kind = job.message.messageClass();
         for (final Node node : lane.nodes) {
-            if (node.condition != Condition.LISTED || !zoneAllows(job, node)
+            if (!node.isOpen() || !zoneAllows(job, node)
                     || lane.phase == Phase.WELL && nowUs < node.avoidUntilUs[kind]) {
                 continue;
             }
             final boolean handshake = node.inFlight >= node.connections * settings.limits().multiplex()
                     || node.inFlight == 0 && nowUs - node.lastUseUs >= settings.limits().idleCloseUs();
             final boolean cross = !node.entry.zone().equals(settings.zone());
-            final double load = lane.phase == Phase.OUT ? node.lastSendUs : node.inFlight + node.badRun[kind]
+            final double taken = node.inFlight + node.badRun[kind]
                     + (handshake ? HANDSHAKE_LOAD : 0) + (cross ? CROSS_LOAD : 0);
+            // One that is back is cold: a call weighs there as much as its capacity is short.
+            final double load = lane.phase == Phase.OUT ? node.lastSendUs
+                    : (1 + taken) / warmth(nowUs - node.backUs);
             if (best == null || load < bestLoad) {
                 best = node;
                 bestLoad = load;
@@ -601,6 +631,12 @@
                 suspect(lane, part * ERROR_WEIGHT);
             }
             case TIMED_OUT, RESET, NO_CONNECTION, CANCELLED -> {
+                if (node.barred) {
+                    // It was taken out to be restarted: that says nothing of its destination.
+                    lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
+                    node.connections = 0;
+                    return;
+                }
                 call.stale |= outcome.result() == Result.RESET && call.reused && node.badRun[kind] == 0;
                 if (call.stale) {
                     // A kept connection was dead: that says nothing of its endpoint, but of others like it.
@@ -713,9 +749,14 @@
 
     /** What tips a destination so far on its way to being warm, as a share of its whole capacity. */
     private double tippingShare(final long warmingUs) {
+        return settings.guarantees().tipMultiple() * warmth(warmingUs);
+    }
+
+    /** Share of its capacity that what was cold has by then, at least. */
+    private double warmth(final long warmingUs) {
         final double coldFrom = settings.guarantees().coldFrom();
         final double warm = (double) warmingUs / Math.max(1, settings.guarantees().coldUs());
-        return settings.guarantees().tipMultiple() * (coldFrom + (1 - coldFrom) * clamp(warm, 0, 1));
+        return coldFrom + (1 - coldFrom) * clamp(warm, 0, 1);
     }
 
     private void learn(final Lane lane, final Job job, final long durationUs) {
@@ -1017,6 +1058,9 @@
         private final double[] badRun;
         private final long[] avoidUntilUs;
         private long lastUseUs, lastSendUs, lastServedUs;
+        /** The operators have taken it out; when they last let it in again. */
+        private boolean barred;
+        private long backUs;
         /** Until when its kept connections are not trusted with what may not go again. */
         private long staleUntilUs;
 
@@ -1026,6 +1070,10 @@
             this.entry = entry;
             this.lane = lane;
         }
+
+        private boolean isOpen() {
+            return condition == Condition.LISTED && !barred;
+        }
     }
 
     /** A call in flight, with one or more messages. */
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -1,6 +1,7 @@
 package driftchute;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * What a courier's decisions are told and what they may ask for. A host (a courier process, or the bench's
@@ -140,6 +141,9 @@
     /** An attempt ended. */
     void onOutcome(long nowUs, Outcome outcome);
 
+    /** All endpoints that the operators have taken out: nothing new goes there. One that is no longer named is back. */
+    void onBarred(long nowUs, Set<Long> endpoints);
+
     /** Nobody wants this message any more; it is owed no answer. */
     void onExpired(long nowUs, String messageId);
 
--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -15,10 +15,12 @@
 
 /**
  * What a courier is told at its start: the file of the configuration, with the environment's word on addresses and
- * folders. Unknown keys are ignored; a value that cannot be read ends the start with one line that names it.
+ * folders. Unknown keys are ignored; a value that cannot be read ends the start with one line that names it. The second
+ * address may be absent: then {@code mgmt} is null.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed, int sockets,
-              long diskBytes, JsonNode known, Courier.Settings settings, long connectTimeoutUs) {
+record Config(String name, InetSocketAddress listen, InetSocketAddress mgmt, InetSocketAddress discovery, Path state,
+              long seed, int sockets, long diskBytes, JsonNode known, Courier.Settings settings,
+              long connectTimeoutUs) {
 
     private static final int MOST_PORT = 65_535;
     private static final int HEX = 16;
@@ -68,6 +70,7 @@
             switch (variable) {
                 case "PROXY_NAME" -> values.put("name", value);
                 case "PROXY_LISTEN" -> values.put("listen", value);
+                case "PROXY_MGMT" -> values.put("mgmt", value);
                 // The file can be replaced while the process runs; the environment then still has the old address.
                 case "PROXY_DISCOVERY" -> values.putIfAbsent("discovery", value);
                 case "PROXY_STATE" -> values.put("state", value);
@@ -78,6 +81,7 @@
         final Fields settings = Fields.of(settingValues, SOURCE);
         try {
             return new Config(fields.text("name", "courier"), address("listen", fields.text("listen")),
+                    fields.text("mgmt", "").isEmpty() ? null : address("mgmt", fields.text("mgmt")),
                     address("discovery", fields.text("discovery")), Path.of(fields.text("state")),
                     seed(fields.text("seed", "0")), (int) atLeastOne(fields, "limits.sockets", 1024),
                     atLeastOne(fields, "limits.disk_mb", 1) * BYTES_PER_MB, root.path("known"),
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -30,7 +30,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * The list of endpoints: the copy from the configuration at first, then a watch on its changes. When the watch breaks,
@@ -57,6 +61,8 @@
     private final Host host;
     private final ObjectMapper json = new ObjectMapper();
     private final Map<String, Long> ids = new HashMap<>();
+    /** All that the list has ever named; the second address asks on a thread of its own. */
+    private final Set<String> listed = ConcurrentHashMap.newKeySet();
     private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
     private long nextId = 1;
     /** When each destination was last seen to have an endpoint: between two endpoints it has none for a while. */
@@ -96,6 +102,16 @@
         return destinations.containsKey(destination) || clock.nowUs() - freshUs > FRESH_US;
     }
 
+    /** True if the list has ever named that endpoint to this process. On any thread. */
+    boolean hasListed(final String name) {
+        return listed.contains(name);
+    }
+
+    /** The endpoints of these names that are in the list now. */
+    Set<Long> idsOf(final Set<String> names) {
+        return names.stream().map(ids::get).filter(Objects::nonNull).collect(Collectors.toSet());
+    }
+
     String zone(final long endpoint) {
         final Courier.Endpoint entry = entries.get(endpoint);
         return entry == null ? "" : entry.zone();
@@ -196,6 +212,7 @@
                 kind = index;
             }
         }
+        listed.add(name);
         final long id = ids.computeIfAbsent(name, unused -> nextId++);
         return new Courier.Endpoint(id, condition, node.path("site").asText(), node.path("share").asDouble(0), kind,
                 node.path("block").asLong());
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -44,6 +44,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.regex.Pattern;
 
 /**
@@ -180,6 +181,12 @@
         }
     }
 
+    /** An endpoint is left out: what is not written to it yet may not go, and its idle connections serve nothing. */
+    void bar(final long endpoint) {
+        closeIdle(endpoint);
+        abandonUnwritten(call -> call.endpoint == endpoint);
+    }
+
     void closeIdle(final long endpoint) {
         final Pool pool = pools.get(endpoint);
         if (pool != null) {
@@ -323,12 +330,12 @@
 
     /** A wait was told: what is on its way to that destination, and not written yet, may not go. */
     private void holdBack(final Pool told) {
-        for (final Call call : List.copyOf(calls)) {
-            final boolean bound = told.apart ? call.pool == told : call.pool.destination == told.destination;
-            if (bound && !call.written) {
-                abandon(call, Result.NOT_SENT);
-            }
-        }
+        abandonUnwritten(call -> told.apart ? call.pool == told : call.pool.destination == told.destination);
+    }
+
+    private void abandonUnwritten(final Predicate<Call> bound) {
+        List.copyOf(calls).stream().filter(call -> !call.written && bound.test(call))
+                .forEach(call -> abandon(call, Result.NOT_SENT));
     }
 
     // ---------------------------------------------------------------- one connection
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -21,6 +22,8 @@
     private static final long FULL_RETRY_US = 1_000_000;
     /** How often the log tells how things stand, while messages pile up. */
     private static final long STATUS_MS = 5_000;
+    /** How often the orders are looked at while nothing is decided: what is about to be sent must be held back. */
+    private static final long HEED_MS = 50;
     /** Share of the store that makes a pile. */
     private static final double PILE_SHARE = 0.1;
 
@@ -61,6 +64,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Journal journal;
+    private final Orders orders;
     private final Control control;
     private final Endpoints endpoints;
     private final Discovery discovery;
@@ -70,14 +74,18 @@
     private final Map<Long, List<Parcel>> outbox = new LinkedHashMap<>();
     private final List<Open> unanswered = new ArrayList<>();
     private boolean passDue;
+    /** The orders that the decisions have been told of. */
+    private Orders.Standing heeded;
     /** Since the log last told how things stand: nothing else happens on the loop during a pass. */
     private long longestPassUs;
 
-    Host(final Config config, final EventLoop loop, final Clock clock, final Journal journal) {
+    Host(final Config config, final EventLoop loop, final Clock clock, final Journal journal,
+         final Orders orders) {
         this.config = config;
         this.loop = loop;
         this.clock = clock;
         this.journal = journal;
+        this.orders = orders;
         this.control = new Control(config.settings(), config.seed(), this);
         this.endpoints = new Endpoints(config, loop, clock, this);
         this.discovery = new Discovery(config, loop, clock, this);
@@ -103,6 +111,7 @@
         if (resumed > 0) {
             Log.info("resumed " + resumed + " messages");
         }
+        loop.scheduleWithFixedDelay(this::heed, HEED_MS, HEED_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::tell, STATUS_MS, STATUS_MS, TimeUnit.MILLISECONDS);
         touch();
     }
@@ -174,9 +183,16 @@
     /** The list has changed, or could not be had. */
     void list(final Courier.Update update, final List<Courier.Endpoint> entries) {
         control.onList(clock.nowUs(), update, entries);
+        heeded = null;
+        heed();
         touch();
     }
 
+    /** True if the list has ever named that endpoint to this process. On any thread. */
+    boolean hasListed(final String endpoint) {
+        return discovery.hasListed(endpoint);
+    }
+
     Endpoints endpoints() {
         return endpoints;
     }
@@ -216,6 +232,7 @@
     private void pass() {
         passDue = false;
         final long fromUs = clock.nowUs();
+        heed();
         try {
             control.decide(clock.nowUs());
         } catch (final RuntimeException | Error e) {
@@ -228,6 +245,18 @@
         longestPassUs = Math.max(longestPassUs, clock.nowUs() - fromUs);
     }
 
+    /** Tells the decisions which endpoints the operators have taken out, whenever that or the list has changed. */
+    private void heed() {
+        final Orders.Standing standing = orders.standing();
+        if (standing != heeded) {
+            heeded = standing;
+            final Set<Long> barred = discovery.idsOf(standing.out());
+            control.onBarred(clock.nowUs(), barred);
+            barred.forEach(endpoints::bar);
+            touch();
+        }
+    }
+
     /** What was taken and not ended in the same pass is taken on. */
     private void answer() {
         final List<Open> due = List.copyOf(unanswered);
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -68,6 +68,9 @@
     private static final long IDLE_US = 10_000_000;
     private static final long CROWDED_IDLE_US = 2_100_000;
     private static final double CROWDED_SHARE = 0.5;
+    /** In a drain a connection is closed once idle for so long, and each that is idle so long after its beginning. */
+    private static final long DRAIN_IDLE_US = 2_000_000;
+    private static final long DRAIN_US = 1_500_000;
     /** For how long, and how much, what a client sends behind its last answer is read away. */
     private static final long LINGER_MS = 500;
     private static final int MOST_DRAINED_BYTES = 1 << 18;
@@ -81,16 +84,20 @@
     private final Config config;
     private final Clock clock;
     private final Host host;
+    private final Orders orders;
     private final int mostConnections;
     private final Set<Session> sessions = new HashSet<>();
     private int heldBytes;
     private Channel listener;
-    private boolean draining;
+    /** Since when the operators have drained it, as far as was noticed; never, while they have not. */
+    private long drainedSinceUs = Long.MAX_VALUE;
+    private boolean ending;
 
-    Intake(final Config config, final Clock clock, final Host host) {
+    Intake(final Config config, final Clock clock, final Host host, final Orders orders) {
         this.config = config;
         this.clock = clock;
         this.host = host;
+        this.orders = orders;
         this.mostConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
     }
 
@@ -122,10 +129,15 @@
 
     /** From now on answers end their connections, and those on which nothing is asked are closed. */
     void drain() {
-        draining = true;
+        ending = true;
         List.copyOf(sessions).forEach(Session::closeIfIdle);
     }
 
+    /** True while it takes no new clients: the process ends, or the operators have ordered it. */
+    private boolean isDraining() {
+        return ending || orders.standing().drain();
+    }
+
     /** Accepts no further connection; those that stand are still served. */
     void stopListening() {
         listener.close();
@@ -135,7 +147,8 @@
     /** Closes what is of no use, and answers what does not come to an end, before anyone has to ask why. */
     private void sweep() {
         final long nowUs = clock.nowUs();
-        final long idleUs = sessions.size() > CROWDED_SHARE * mostConnections ? CROWDED_IDLE_US : IDLE_US;
+        drainedSinceUs = orders.standing().drain() ? Math.min(drainedSinceUs, nowUs) : Long.MAX_VALUE;
+        final long idleUs = idleUs(nowUs);
         for (final Session session : List.copyOf(sessions)) {
             if (session.askedSinceUs <= nowUs - REQUEST_US && !session.isClosing()) {
                 session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
@@ -146,6 +159,14 @@
         }
     }
 
+    /** For how long a connection may be idle now. */
+    private long idleUs(final long nowUs) {
+        if (drainedSinceUs != Long.MAX_VALUE) {
+            return nowUs - drainedSinceUs >= DRAIN_US ? 0 : DRAIN_IDLE_US;
+        }
+        return sessions.size() > CROWDED_SHARE * mostConnections ? CROWDED_IDLE_US : IDLE_US;
+    }
+
     /**
      * Too many connections: one makes room. First those that are rejected already, then those that never asked, then
      * those whose request does not end, then those that have long been idle; failing these, the newest goes.
@@ -360,7 +381,7 @@
                 if (!request.head().method().equals(HttpMethod.GET)) {
                     answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
                 } else {
-                    answer(draining ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
+                    answer(isDraining() ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, 0);
                 }
                 return;
             }
@@ -425,7 +446,7 @@
             // Who asks for what cannot be had is not trusted with what it sends behind it.
             final boolean good = status.code() < HttpResponseStatus.BAD_REQUEST.code()
                     || status.code() == TOO_MANY || status.code() == UNAVAILABLE || status.code() == FAILED;
-            final boolean keep = good && HttpUtil.isKeepAlive(current.head()) && !draining && last == null;
+            final boolean keep = good && HttpUtil.isKeepAlive(current.head()) && !isDraining() && last == null;
             current = null;
             currentId = null;
             sinceUs = clock.nowUs();
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -1,5 +1,6 @@
 package driftchute.node;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -23,6 +24,7 @@
     private final Clock clock = new Clock();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Map<String, String> environment;
+    private volatile boolean serving;
     private Host host;
     private Intake intake;
 
@@ -50,9 +52,12 @@
         final Config config = Config.read(environment);
         final Journal journal = Journal.open(config.state(), config.diskBytes());
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
+        final Orders orders = new Orders(config.state());
+        // A drain is the running courier's: one that starts anew is there to serve.
+        orders.change(standing -> standing.drained(false));
         loop.execute(() -> {
             try {
-                run(config, journal);
+                run(config, journal, orders);
             } catch (final IllegalArgumentException e) {
                 // On the loop's thread this would be swallowed, and a courier left that is never ready.
                 giveUp(e.getMessage());
@@ -66,12 +71,14 @@
     }
 
     /** Builds everything on the event loop, which owns it all from then on. */
-    private void run(final Config config, final Journal journal) {
-        host = new Host(config, loop, clock, journal);
-        intake = new Intake(config, clock, host);
+    private void run(final Config config, final Journal journal, final Orders orders) {
+        host = new Host(config, loop, clock, journal, orders);
+        intake = new Intake(config, clock, host, orders);
         host.start();
+        manage(config, orders);
         intake.listen(group, loop).addListener(bound -> {
             if (bound.isSuccess()) {
+                serving = true;
                 Log.info(config.name() + " is ready at " + intake.address());
             } else {
                 giveUp("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
@@ -79,6 +86,21 @@
         });
     }
 
+    /** Opens the second address, where the configuration has one. */
+    private void manage(final Config config, final Orders orders) {
+        if (config.mgmt() == null) {
+            return;
+        }
+        final ChannelFuture bound = new Management(config, orders, () -> serving, host::hasListed).listen(config);
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
+                Log.info("the second address is " + bound.channel().localAddress().toString().replaceFirst(".*/", ""));
+            } else {
+                giveUp("cannot listen on " + config.mgmt() + ": " + done.cause().getMessage());
+            }
+        });
+    }
+
     /**
      * On SIGHUP: moves to the discovery that the file names now. One reading at a time, so that of two signals in a
      * row the later one's file counts. A file that cannot be used changes nothing.
@@ -104,6 +126,7 @@
                 return;
             }
             final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
+            serving = false;
             intake.drain();
             host.stopping(stopUs);
             loop.schedule(() -> {
--- /dev/null
+++ b/src/main/java/driftchute/node/Management.java
@@ -0,0 +1,179 @@
+package driftchute.node;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.TooLongFrameException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+
+/**
+ * The second address, for the operators: a connection carries one line, and gets one line that begins with OK or ERR.
+ * It runs on a thread of its own: an answer may not wait for the event loop that serves messages, nor for callers that
+ * send nothing.
+ */
+final class Management {
+    private static final int MOST_LINE_BYTES = 256;
+    /** A caller that has not sent a whole line by then is told so. */
+    private static final long CALL_MS = 5000;
+    private static final long LINGER_MS = 500;
+    /** Callers at once, as a share of the descriptors, and at least; beyond that the one that waits longest goes. */
+    private static final double SOCKET_SHARE = 0.05;
+    private static final int LEAST_CALLERS = 8;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Orders orders;
+    private final BooleanSupplier serves;
+    private final Predicate<String> listed;
+    private final int mostCallers;
+    private final Set<Channel> callers = new LinkedHashSet<>();
+
+    /** {@code serves}: this process can serve; {@code listed}: the list has named that endpoint. On any thread. */
+    Management(final Config config, final Orders orders, final BooleanSupplier serves,
+               final Predicate<String> listed) {
+        this.orders = orders;
+        this.serves = serves;
+        this.listed = listed;
+        this.mostCallers = (int) Math.max(LEAST_CALLERS, SOCKET_SHARE * config.sockets());
+    }
+
+    ChannelFuture listen(final Config config) {
+        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(final Channel channel) {
+                        channel.pipeline().addLast(new LineBasedFrameDecoder(MOST_LINE_BYTES), new Call());
+                    }
+                }).bind(config.mgmt());
+    }
+
+    /** Does what a line asks for, and says how it went. */
+    private String obey(final String line) {
+        final String[] words = line.trim().split("\\s+");
+        final boolean named = words[0].equals("set-down") || words[0].equals("set-up");
+        if (words.length != (named ? 2 : 1)) {
+            return named ? "ERR " + words[0] + " takes one endpoint's id" : "ERR unknown call";
+        }
+        try {
+            return switch (words[0]) {
+                case "check" -> serves.getAsBoolean() ? "OK" : "ERR not ready to serve";
+                case "set-down" -> setDown(words[1]);
+                case "set-up" -> setUp(words[1]);
+                case "drain-on" -> drain(true);
+                case "drain-off" -> drain(false);
+                default -> "ERR unknown call";
+            };
+        } catch (final IOException e) {
+            Log.info("orders: cannot keep '" + line + "': " + e.getMessage());
+            return "ERR the order cannot be kept: " + e.getClass().getSimpleName();
+        }
+    }
+
+    private String setDown(final String endpoint) throws IOException {
+        if (!isKnown(endpoint)) {
+            return "ERR no such endpoint was ever listed";
+        }
+        orders.change(standing -> standing.with(endpoint));
+        Log.info("orders: " + endpoint + " is left out");
+        return "OK " + endpoint + " is left out";
+    }
+
+    private String setUp(final String endpoint) throws IOException {
+        if (!isKnown(endpoint)) {
+            return "ERR no such endpoint was ever listed";
+        }
+        orders.change(standing -> standing.without(endpoint));
+        Log.info("orders: " + endpoint + " is used again");
+        return "OK " + endpoint + " is used again";
+    }
+
+    /** One that is out was listed once, even if that was before this process. */
+    private boolean isKnown(final String endpoint) {
+        return listed.test(endpoint) || orders.standing().out().contains(endpoint);
+    }
+
+    private String drain(final boolean on) throws IOException {
+        orders.change(standing -> standing.drained(on));
+        Log.info(on ? "orders: drain" : "orders: end of the drain");
+        return on ? "OK draining" : "OK serving";
+    }
+
+    /** One caller's connection. */
+    private final class Call extends SimpleChannelInboundHandler<ByteBuf> {
+        private boolean answered;
+
+        @Override
+        public void channelActive(final ChannelHandlerContext ctx) {
+            callers.add(ctx.channel());
+            if (callers.size() > mostCallers) {
+                callers.iterator().next().close();
+            }
+            ctx.executor().schedule(() -> answer(ctx, "ERR no call came"), CALL_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void channelInactive(final ChannelHandlerContext ctx) {
+            callers.remove(ctx.channel());
+        }
+
+        @Override
+        protected void channelRead0(final ChannelHandlerContext ctx, final ByteBuf line) {
+            // What comes behind the one line is read away, lest a reset overtake the answer.
+            if (!answered) {
+                answer(ctx, obey(line.toString(StandardCharsets.UTF_8)));
+            }
+        }
+
+        @Override
+        public void userEventTriggered(final ChannelHandlerContext ctx, final Object event) {
+            if (event == ChannelInputShutdownEvent.INSTANCE) {
+                answer(ctx, "ERR no whole line came");
+            }
+        }
+
+        private void answer(final ChannelHandlerContext ctx, final String text) {
+            if (answered || !ctx.channel().isActive()) {
+                return;
+            }
+            answered = true;
+            ctx.writeAndFlush(Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8)).addListener(done -> {
+                if (done.isSuccess()) {
+                    ((SocketChannel) ctx.channel()).shutdownOutput();
+                }
+                ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            });
+        }
+
+        @Override
+        public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+            if (cause instanceof TooLongFrameException) {
+                answer(ctx, "ERR the line is too long");
+                return;
+            }
+            if (!(cause instanceof IOException)) {
+                Log.failure("a call on the second address", cause);
+            }
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/driftchute/node/Rehearsal.java
+++ b/src/main/java/driftchute/node/Rehearsal.java
@@ -30,19 +30,27 @@
             port = free.getLocalPort();
         }
         final String own = ADDRESS + ":" + port;
+        final int mgmtPort;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS))) {
+            mgmtPort = free.getLocalPort();
+        }
         final Path config = Files.writeString(folder.resolve("config.json"), """
-                {"name":"rehearsal","listen":"%s","discovery":"%s","seed":"1","limits":{"sockets":256,"disk_mb":3},
+                {"name":"rehearsal","listen":"%s","mgmt":"%s","discovery":"%s","seed":"1",
+                 "limits":{"sockets":256,"disk_mb":3},
                  "known":{"seq":1,"whole":true,"hosts":[{"host":"e","dial":"%s","site":"a","class":"std","block":1,
                   "health":"Ready","share":9.0,"born_ms":0}]},
                  "settings":{"balancers":1,"my_zone":"a","discovery":"on_request","weights":"nominal","flavors":["std"],
                   "classes":[{"name":"once","effect":"side_effect","target":500000,"deadline":1000000}],
                   "extra":{"calls_out":4,"per_call":[5],"routes_apart":[false]},
                   "limits":{"max_open":9,"most_tries":2,"idle_close":1000000}}}
-                """.formatted(own, own, own));
+                """.formatted(own, ADDRESS + ":" + mgmtPort, own, own));
         Main.start(Map.of("PROXY_CONFIG", config.toString(), "PROXY_STATE", folder.resolve("state").toString()));
         ask(port, "GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
         ask(port, "POST /once HTTP/1.1\r\nHost: a\r\nX-Request-ID: r\r\nX-Priority-Class: once\r\nX-Timeout-Ms: 900\r\n"
                 + "X-Consignee: dest=1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
+        ask(mgmtPort, "check\n");
+        ask(mgmtPort, "set-down e\n");
+        ask(mgmtPort, "set-up e\n");
         System.exit(0);
     }
 
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -12,6 +12,7 @@
 import driftchute.Courier.Update;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -797,4 +798,80 @@
         scene.pass(Scene.SECOND);
         assertEquals(1, scene.count("late"));
     }
+
+    private static void bar(final Scene scene, final Long... endpoints) {
+        scene.control.onBarred(scene.nowUs, Set.of(endpoints));
+        scene.control.decide(scene.nowUs);
+    }
+
+    @Test
+    void aBarredEndpointGetsNothingWhateverTheListSays() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings());
+        bar(scene, 1L);
+        scene.list(Update.WHOLE, Scene.endpoint(1, Scene.DEST, "a"), Scene.endpoint(2, Scene.DEST, "b"));
+        for (int count = 0; count < 20; count++) {
+            scene.take("m" + count, 0);
+            scene.end("m" + count, Result.DELIVERED);
+        }
+        assertEquals(20, scene.sent.size());
+        assertTrue(scene.sent.stream().allMatch(send -> send.endpoint() == 2));
+    }
+
+    /** What the restart of a barred endpoint cuts off says nothing of the destination's health. */
+    @Test
+    void resetsFromABarredEndpointDoNotPutItsDestinationOut() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings());
+        final List<String> cut = new ArrayList<>();
+        for (int count = 0; count < 4; count++) {
+            scene.pass(2 * Scene.SECOND);
+            scene.take("m" + count, 0);
+            cut.add("m" + count);
+            bar(scene, scene.last("m" + count).endpoint());
+            scene.end("m" + count, Result.RESET);
+            scene.end("m" + count, Result.DELIVERED);
+            bar(scene);
+        }
+        assertTrue(scene.control.describe(scene.nowUs).startsWith("open 0"));
+        scene.take("next", 0);
+        assertEquals(1, scene.count("next"), "nothing is held back");
+    }
+
+    /** The only endpoint of a destination comes back cold: what waited for it may not go in a burst. */
+    @Test
+    void aDestinationWhoseOnlyEndpointIsBackIsPacedLikeAColdOne() {
+        final Scene scene = new Scene(Scene.settings());
+        scene.list(Update.RESTORED, Scene.endpoint(1, Scene.DEST, "a"));
+        bar(scene, 1L);
+        for (int count = 0; count < 12; count++) {
+            scene.take("m" + count, 0);
+        }
+        assertTrue(scene.sent.isEmpty());
+        scene.pass(Scene.SECOND);
+        bar(scene);
+        assertEquals(1, scene.sent.size(), "one at first");
+        scene.end(scene.sent.get(0).id(), Result.DELIVERED);
+        scene.pass(300 * Scene.MS);
+        assertEquals(1, scene.sent.size(), "and the next only after a cold one's gap");
+        scene.pass(10 * Scene.SECOND);
+        assertTrue(scene.sent.size() > 1);
+    }
+
+    /** Of two endpoints the one that is back gets fewer calls than the warm one, but it gets some. */
+    @Test
+    void anEndpointThatIsBackGetsLessWhileItIsCold() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings());
+        bar(scene, 1L);
+        scene.pass(20 * Scene.SECOND);
+        bar(scene);
+        for (int count = 0; count < 12; count++) {
+            scene.take("w" + count, 0);
+            scene.end("w" + count, Result.DELIVERED);
+        }
+        assertTrue(scene.sent.stream().allMatch(send -> send.endpoint() == 2), scene.sent.toString());
+        scene.pass(11 * Scene.SECOND);
+        for (int count = 0; count < 12; count++) {
+            scene.take("x" + count, 0);
+        }
+        assertTrue(scene.sent.stream().anyMatch(send -> send.endpoint() == 1), scene.sent.toString());
+    }
 }
--- /dev/null
+++ b/src/test/java/driftchute/node/ManagementTest.java
@@ -0,0 +1,171 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the operators can ask for on the second address, and what comes of it. */
+@Timeout(120)
+final class ManagementTest {
+    @TempDir
+    private Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        rig = new Rig(folder);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        rig.close();
+    }
+
+    private static void assertOk(final String answer) {
+        assertTrue(answer.startsWith("OK") && answer.endsWith("\n"), answer);
+    }
+
+    private static void assertErr(final String answer) {
+        assertTrue(answer.startsWith("ERR ") && answer.indexOf('\n') == answer.length() - 1, answer);
+    }
+
+    private Rig.Answer up() throws IOException {
+        return rig.send("GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+
+    @Test
+    void whatItCannotDoIsAnsweredWithAReason() throws IOException {
+        rig.start();
+        assertOk(rig.call("check"));
+        assertOk(rig.call("check\r"));
+        for (final String bad : List.of("", "chick", "check now", "set-down", "set-up", "set-down a b", "set-down nobody",
+                "set-up nobody", "drain-on now", "CHECK", "x".repeat(100_000))) {
+            assertErr(rig.call(bad));
+        }
+        try (Socket half = rig.connectToMgmt()) {
+            half.getOutputStream().write("che".getBytes(StandardCharsets.UTF_8));
+            half.shutdownOutput();
+            assertErr(new String(half.getInputStream().readAllBytes(), StandardCharsets.UTF_8));
+        }
+        assertTrue(rig.isRunning());
+    }
+
+    @Test
+    void callersThatSendNothingOrHalfACallHoldNobodyUp() throws IOException {
+        rig.start();
+        final List<Socket> silent = new ArrayList<>();
+        try {
+            for (int count = 0; count < 200; count++) {
+                final Socket socket = rig.connectToMgmt();
+                silent.add(socket);
+                if (count % 2 == 0) {
+                    socket.getOutputStream().write("set-do".getBytes(StandardCharsets.UTF_8));
+                }
+            }
+            assertOk(rig.call("check"));
+        } finally {
+            for (final Socket socket : silent) {
+                socket.close();
+            }
+        }
+    }
+
+    @Test
+    void anEndpointTakenOutGetsNothingWhateverTheListSaysUntilItIsCalledBack() throws Exception {
+        rig.hosts = Rig.host("e1", rig.first, "Ready") + "," + Rig.host("e2", rig.second, "Ready");
+        rig.start();
+        rig.await("the watch", () -> rig.watches.size() == 1);
+        assertOk(rig.call("set-down e1"));
+        assertOk(rig.call("set-down e1"));
+        rig.change(42, Rig.host("e1", rig.first, "Gone"));
+        rig.change(43, Rig.host("e1", rig.first, "Ready"));
+        deliver("a", 20);
+        rig.killAndRestart();
+        deliver("b", 20);
+        assertTrue(rig.first.requests.isEmpty(), "the ban holds for the next process too");
+        assertOk(rig.call("set-up e1"));
+        rig.second.script((request, connection) -> connection.answer(503, ""));
+        for (int count = 0; rig.first.requests.isEmpty(); count++) {
+            assertTrue(count < 1000, "never used again");
+            deliver("c" + count, 1);
+        }
+        rig.killAndRestart();
+        assertFalse(Files.readString(folder.resolve("state/orders")).contains("e1"));
+    }
+
+    /** A message that waits because its only endpoint is out goes as soon as that is used again. */
+    @Test
+    void whatWaitsForTheOnlyEndpointGoesWhenItIsBack() throws IOException {
+        rig.start();
+        assertOk(rig.call("set-down e1"));
+        assertEquals(202, rig.handIn("m1", "safe").status());
+        assertTrue(rig.first.requests.isEmpty());
+        assertOk(rig.call("set-up e1"));
+        rig.await("the call", () -> rig.first.requests.size() == 1);
+    }
+
+    @Test
+    void anOrderThatCannotBeKeptIsRefused() throws IOException {
+        rig.start();
+        final Path blocked = folder.resolve("state/orders.next");
+        Files.createDirectory(blocked);
+        assertErr(rig.call("set-down e1"));
+        assertErr(rig.call("drain-on"));
+        assertEquals(200, up().status(), "what was refused is not in force");
+        Files.delete(blocked);
+        assertOk(rig.call("set-down e1"));
+    }
+
+    @Test
+    void aDrainSendsClientsElsewhereLosesNothingAndEndsWithoutARestart() throws IOException {
+        rig.start();
+        try (Socket busy = rig.connect(); Socket idle = rig.connect()) {
+            assertEquals(202, Rig.send(busy, Rig.message("before", "safe")).status());
+            assertEquals(200, Rig.send(idle, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status());
+            assertOk(rig.call("drain-on"));
+            assertEquals(503, up().status(), "at once");
+            final Rig.Answer late = Rig.send(busy, Rig.message("late", "safe"));
+            assertEquals(202, late.status(), "what has been sent already is taken on");
+            assertTrue(late.head().contains("connection: close"), late.head());
+            assertEquals(-1, busy.getInputStream().read());
+            assertEquals(-1, idle.getInputStream().read(), "an idle connection is closed in the end");
+        }
+        rig.await("both", () -> rig.first.requests.size() == 2);
+        assertOk(rig.call("check"));
+        assertOk(rig.call("drain-off"));
+        assertEquals(200, up().status());
+        final Rig.Answer after = rig.handIn("after", "safe");
+        assertFalse(after.head().contains("connection: close"), after.head());
+    }
+
+    @Test
+    void aRestartEndsADrain() throws Exception {
+        rig.start();
+        assertOk(rig.call("drain-on"));
+        rig.killAndRestart();
+        assertEquals(200, up().status());
+    }
+
+    private void deliver(final String prefix, final int count) throws IOException {
+        for (int number = 0; number < count; number++) {
+            final String id = prefix + number;
+            assertEquals(202, rig.handIn(id, "safe").status());
+            rig.await("the call of " + id, () -> java.util.stream.Stream.of(rig.first, rig.second)
+                    .anyMatch(at -> at.requests.stream().anyMatch(request -> request.header("X-Request-ID") != null
+                            ? id.equals(request.header("X-Request-ID")) : request.text().contains(id))));
+        }
+    }
+}
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -51,6 +51,7 @@
     private final Path folder;
     private Process process;
     private int port;
+    private int mgmtPort;
 
     Rig(final Path folder) throws IOException {
         this.folder = folder;
@@ -90,14 +91,33 @@
     Rig start() throws IOException {
         launch();
         final List<String> before = List.copyOf(log);
-        await("ready", () -> readyLine(before.size()) != null);
-        final String ready = readyLine(before.size());
-        port = Integer.parseInt(ready.substring(ready.lastIndexOf(':') + 1));
+        await("ready", () -> line(before.size(), "is ready at") != null);
+        port = portIn(line(before.size(), "is ready at"));
+        await("the second address", () -> line(before.size(), "the second address is") != null);
+        mgmtPort = portIn(line(before.size(), "the second address is"));
         return this;
     }
 
-    private String readyLine(final int from) {
-        return log.stream().skip(from).filter(line -> line.contains("is ready at")).findFirst().orElse(null);
+    private String line(final int from, final String with) {
+        return log.stream().skip(from).filter(line -> line.contains(with)).findFirst().orElse(null);
+    }
+
+    private static int portIn(final String line) {
+        return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+    }
+
+    Socket connectToMgmt() throws IOException {
+        final Socket socket = new Socket("127.0.0.1", mgmtPort);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
+        return socket;
+    }
+
+    /** Makes a call on the second address; the result is all that was answered. */
+    String call(final String line) throws IOException {
+        try (Socket socket = connectToMgmt()) {
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
     }
 
     /** Starts the program without waiting for anything. */
@@ -122,7 +142,7 @@
     Path configure(final String discovery) throws IOException {
         final Path config = folder.resolve("config.json");
         Files.writeString(config, """
-                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                {"name":"n0","listen":"127.0.0.1:0","mgmt":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%d},
                  "known":{"seq":41,"whole":true,"hosts":[%s]},
                  "settings":{"balancers":1,"my_zone":"a","discovery":"%s","weights":"nominal",
