--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -198,6 +198,60 @@
         stopUs = atUs;
     }
 
+    @Override
+    public List<Memory> memories() {
+        final List<Memory> all = new ArrayList<>();
+        destinations.forEach((id, destination) -> destination.lanes.stream()
+                .filter(lane -> !lane.kind.routesApart())
+                .forEach(lane -> all.add(new Memory(id, lane.calls.size(), lane.phase, lane.waitUntilUs,
+                        lane.pauseUntilUs, lane.troubleFromUs, lane.rampFromUs, lane.rampSpanUs, lane.window,
+                        lane.rate, lane.callRate, lane.reportedLimit, lane.shareLeft, lane.spacing,
+                        lane.pace))));
+        return all;
+    }
+
+    @Override
+    public void onMemory(final long now, final Memory memory) {
+        nowUs = now;
+        final Destination destination = destinations.get(memory.destination());
+        if (destination != null && !destination.lanes.isEmpty()) {
+            final Lane lane = destination.lanes.get(0);
+            lane.elsewhere = memory.callsOut();
+            lane.waitUntilUs = Math.max(lane.waitUntilUs, memory.waitUntilUs());
+            lane.pauseUntilUs = Math.max(lane.pauseUntilUs, memory.pauseUntilUs());
+            if (lane.lastServedUs == 0) {
+                inherit(lane, memory);
+            }
+        }
+    }
+
+    /** As long as nothing was served here, the process before knows better how a lane does. */
+    private void inherit(final Lane lane, final Memory memory) {
+        lane.troubleFromUs = Math.min(lane.troubleFromUs, memory.troubleFromUs());
+        if (lane.phase != memory.phase()) {
+            lane.phase = memory.phase();
+            lane.rampFromUs = memory.rampFromUs();
+            lane.rampSpanUs = memory.rampSpanUs();
+            lane.nextTrialUs = trialUs(lane);
+        }
+        if (lane.lastSendUs == 0) {
+            lane.window = memory.window();
+            lane.rate = memory.rate();
+            lane.callRate = memory.callRate();
+            lane.reportedLimit = memory.limit();
+            lane.told = memory.limit() > 0 ? memory.limit() : lane.told;
+            lane.shareLeft = memory.shareLeft();
+            lane.spacing = memory.spacing();
+            lane.pace = memory.pace();
+        }
+    }
+
+    @Override
+    public void onAlone(final long now) {
+        nowUs = now;
+        destinations.values().forEach(destination -> destination.lanes.forEach(lane -> lane.elsewhere = 0));
+    }
+
     @Override
     public void onOutcome(final long now, final Outcome outcome) {
         nowUs = now;
@@ -286,7 +340,9 @@
 
     /** Sends, best first, until no slot is free or no message may go. */
     private void dispatch() {
-        while (callsOut < settings.limits().slots()) {
+        final int elsewhere = destinations.values().stream()
+                .flatMap(destination -> destination.lanes.stream()).mapToInt(lane -> lane.elsewhere).sum();
+        while (callsOut + elsewhere < settings.limits().slots()) {
             final Job best = best(true);
             if (best == null) {
                 return;
@@ -310,9 +366,9 @@
 
     /** When a lane's waits and guards let a call go; never, while its window is full. */
     private long openAtUs(final Lane lane) {
-        final long live = lane.calls.stream()
+        final long live = lane.elsewhere + lane.calls.stream()
                 .filter(call -> !call.unsafe || nowUs < call.overdueUs()).count();
-        if (live >= cap(lane) || lane.calls.size() >= share(lane)) {
+        if (live >= cap(lane) || lane.elsewhere + lane.calls.size() >= share(lane)) {
             return NEVER;
         }
         final double rate = Math.min(partOfLimit(lane), lane.spacing);
@@ -998,8 +1054,6 @@
 
     // ---------------------------------------------------------------- state
 
-    private enum Phase { WELL, OUT, RAMP }
-
     /** A destination: what waits for it, and its lanes (one, unless its routes are apart). */
     private static final class Destination {
         private final List<Job> waiting = new ArrayList<>();
@@ -1020,6 +1074,8 @@
         private final List<Node> nodes = new ArrayList<>();
         private final List<Call> calls = new ArrayList<>();
         private double window;
+        /** Calls that the process before this one still has out there. */
+        private int elsewhere;
         /** This step's counts and sum of latency ratios. */
         private int peak, refused, delivered;
         /** Of these, in calls. */
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -102,6 +102,25 @@
     record Outcome(String messageId, Result result, boolean over, long endpoint, long durationUs, long waitUs,
                    Allowance allowance) { }
 
+    /** How a destination does: well, out of service but for single trials, or on its way back from that. */
+    enum Phase { WELL, OUT, RAMP }
+
+    /**
+     * What a process has learnt of a destination, for the one that goes on in its place; {@code callsOut}: calls that
+     * it still has out there. A time that never came is {@code Long.MAX_VALUE}.
+     */
+    record Memory(long destination, int callsOut, Phase phase, long waitUntilUs, long pauseUntilUs, long troubleFromUs,
+                  long rampFromUs, double rampSpanUs, double window, double rate, double callRate, double limit,
+                  double shareLeft, double spacing, double pace) {
+
+        /** The same on a clock that is so much ahead. */
+        public Memory onClock(final long aheadUs) {
+            return new Memory(destination, callsOut, phase, waitUntilUs + aheadUs, pauseUntilUs + aheadUs,
+                    troubleFromUs == Long.MAX_VALUE ? troubleFromUs : troubleFromUs + aheadUs, rampFromUs + aheadUs,
+                    rampSpanUs, window, rate, callRate, limit, shareLeft, spacing, pace);
+        }
+    }
+
     /** What a courier may ask of its host. */
     interface Actions {
         /** Calls an endpoint with a message. */
@@ -138,6 +157,18 @@
     /** This process ends at {@code stopUs}: what it still holds then goes on in the next one. */
     void onStopping(long nowUs, long stopUs);
 
+    /** What has been learnt of each destination (where its routes are not apart). */
+    List<Memory> memories();
+
+    /**
+     * What the process before this one has learnt of a destination. It is told again while that process still has
+     * calls out there: the two count as one courier.
+     */
+    void onMemory(long nowUs, Memory memory);
+
+    /** The process before this one has no calls out any more. */
+    void onAlone(long nowUs);
+
     /** An attempt ended. */
     void onOutcome(long nowUs, Outcome outcome);
 
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -85,7 +85,6 @@
     private final Bootstrap bootstrap;
     private final ObjectMapper json = new ObjectMapper();
     private final long idleUs;
-    private final int mostConnections;
     private final Map<Long, Pool> pools = new HashMap<>();
     private final Set<Call> calls = new HashSet<>();
     private int connections;
@@ -98,7 +97,6 @@
         this.loop = loop;
         this.host = host;
         this.idleUs = (long) (IDLE_SHARE * config.settings().limits().idleCloseUs());
-        this.mostConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutUs() / US_PER_MS))
                 .handler(new ChannelInitializer<Channel>() {
@@ -201,8 +199,17 @@
                 .filter(reader -> reader.idleSinceUs <= beforeUs).forEach(Reader::close));
     }
 
+    /** Nothing more is begun here. */
+    void closeAllIdle() {
+        pools.values().forEach(pool -> List.copyOf(pool.idle).forEach(Reader::close));
+    }
+
+    private int mostConnections() {
+        return (int) Math.max(1, SOCKET_SHARE * host.descriptors());
+    }
+
     private void makeRoom() {
-        if (connections >= mostConnections) {
+        if (connections >= mostConnections()) {
             pools.values().stream().filter(pool -> !pool.idle.isEmpty()).map(pool -> pool.idle.peekFirst())
                     .min(Comparator.comparingLong(reader -> reader.idleSinceUs)).ifPresent(Reader::close);
         }
@@ -273,7 +280,7 @@
 
     private void connect(final Call call) {
         makeRoom();
-        if (connections >= mostConnections) {
+        if (connections >= mostConnections()) {
             loop.execute(() -> abandon(call, Result.NOT_SENT));
             return;
         }
--- a/src/main/java/driftchute/node/Held.java
+++ b/src/main/java/driftchute/node/Held.java
@@ -58,6 +58,12 @@
         runZone = zone;
     }
 
+    /** True if more has become of it than the same message as another journal has it. */
+    boolean isAheadOf(final Held other) {
+        return notice != null && other.notice == null || attempts > other.attempts
+                || attempts == other.attempts && isOut() && !other.isOut();
+    }
+
     /** Only its notice is owed from now on, and that needs no body: many may wait while the platform is away. */
     void owe(final Notice owed) {
         notice = owed;
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -3,18 +3,21 @@
 import driftchute.Control;
 import driftchute.Courier;
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
  * The one that calls {@link Control}: it tells it what the sockets brought in a pass of the event loop, lets it decide
  * once, and carries out what it asked for. It holds the open messages, and keeps the journal ahead of every byte that
- * promises something. All of it runs on the event loop's thread.
+ * promises something. It holds nothing before it takes up the journal, and stops deciding when it leaves that to the
+ * next process. All of it runs on the event loop's thread.
  */
 final class Host implements Courier.Actions {
     private static final long US_PER_MS = 1000;
@@ -24,6 +27,8 @@
     private static final long STATUS_MS = 5_000;
     /** How often the orders are looked at while nothing is decided: what is about to be sent must be held back. */
     private static final long HEED_MS = 50;
+    /** How often the file of a process that ends is looked at. */
+    private static final long FOLLOW_MS = 5;
     /** Share of the store that makes a pile. */
     private static final double PILE_SHARE = 0.1;
 
@@ -74,6 +79,9 @@
     private final Map<Long, List<Parcel>> outbox = new LinkedHashMap<>();
     private final List<Open> unanswered = new ArrayList<>();
     private boolean passDue;
+    /** Another process decides and sends now; this one ends the calls that are out. */
+    private boolean leaving;
+    private ScheduledFuture<?> following;
     /** The orders that the decisions have been told of. */
     private Orders.Standing heeded;
     /** Since the log last told how things stand: nothing else happens on the loop during a pass. */
@@ -93,29 +101,63 @@
         config.settings().classes().forEach(kind -> classes.put(kind.name(), classes.size()));
     }
 
-    /** Takes up what an earlier process held, and begins to follow the list. Runs on the event loop. */
+    /** Begins to follow the list: nothing else is done before this process takes the place of the one before. */
     void start() {
         discovery.restore(config.known());
-        int resumed = 0;
-        for (final Held held : journal.live()) {
-            final Integer index = classes.get(held.className);
-            if (held.notice() != null) {
-                notices.add(held);
-            } else if (index == null) {
-                end(new Open(held, null, 0, null), new Held.Notice(true, 0));
-            } else {
-                resume(held, index);
-                resumed++;
-            }
-        }
-        if (resumed > 0) {
-            Log.info("resumed " + resumed + " messages");
-        }
         loop.scheduleWithFixedDelay(this::heed, HEED_MS, HEED_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::tell, STATUS_MS, STATUS_MS, TimeUnit.MILLISECONDS);
         touch();
     }
 
+    /** From now on this process decides, records and sends; first it takes up what earlier ones held. */
+    void takeUp() throws IOException {
+        journal.open();
+        final Journal.News news = journal.poll();
+        news.over().forEach(journal::over);
+        remember(news.memories());
+        journal.live().forEach(this::resume);
+        if (!messages.isEmpty()) {
+            Log.info("resumed " + messages.size() + " messages");
+        }
+        if (journal.hasPredecessors()) {
+            Log.info("an earlier process still ends its calls");
+            following = loop.scheduleWithFixedDelay(this::followPredecessors, FOLLOW_MS, FOLLOW_MS,
+                    TimeUnit.MILLISECONDS);
+        }
+        touch();
+    }
+
+    /** Takes up what a process that ends has left since, and what its calls have told it. */
+    private void followPredecessors() {
+        if (leaving) {
+            following.cancel(false);
+            return;
+        }
+        final Journal.News news = journal.poll();
+        news.over().forEach(this::withdraw);
+        remember(news.memories());
+        news.mine().forEach(this::resume);
+        if (!news.mine().isEmpty() || !news.memories().isEmpty()) {
+            touch();
+        }
+        if (!journal.hasPredecessors()) {
+            following.cancel(false);
+            control.onAlone(clock.nowUs());
+            Log.info("the earlier process is gone");
+            touch();
+        }
+    }
+
+    private void remember(final List<Courier.Memory> memories) {
+        final long aheadUs = clock.nowUs() - clock.wallUs();
+        memories.forEach(memory -> control.onMemory(clock.nowUs(), memory.onClock(aheadUs)));
+    }
+
+    /** Descriptors that calls may reckon with: two processes of one courier share them. */
+    int descriptors() {
+        return journal.hasPredecessors() || leaving ? config.sockets() / 2 : config.sockets();
+    }
+
     private void tell() {
         if (messages.size() > PILE_SHARE * config.settings().limits().maxOpen()) {
             Log.info("longest pass " + longestPassUs / US_PER_MS + " ms; " + control.describe(clock.nowUs()));
@@ -123,6 +165,18 @@
         longestPassUs = 0;
     }
 
+    /** Goes on with a message that an earlier process took on. */
+    private void resume(final Held held) {
+        final Integer index = classes.get(held.className);
+        if (held.notice() != null) {
+            notices.add(held);
+        } else if (index == null) {
+            end(new Open(held, null, 0, null), new Held.Notice(true, 0));
+        } else if (!messages.containsKey(held.id)) {
+            resume(held, index);
+        }
+    }
+
     private void resume(final Held held, final int index) {
         final Open open = new Open(held, config.settings().classes().get(index),
                 clock.fromWallUs(held.validUntilWallUs), null);
@@ -158,10 +212,20 @@
 
     /** Takes a message, if there is room; its reply comes at the end of the pass. */
     void offer(final Held held, final long validUntilUs, final Reply reply) {
-        if (messages.size() >= config.settings().limits().maxOpen() || !journal.take(held)) {
+        final int open = leaving ? journal.count() : messages.size();
+        if (open >= config.settings().limits().maxOpen() || !journal.take(held)) {
             reply.refused(Intake.UNAVAILABLE, FULL_RETRY_US);
             return;
         }
+        if (leaving) {
+            // The next process reads of it in the journal, and sends it.
+            reply.accepted();
+            return;
+        }
+        take(held, validUntilUs, reply);
+    }
+
+    private void take(final Held held, final long validUntilUs, final Reply reply) {
         final int index = classes.get(held.className);
         final Open open = new Open(held, config.settings().classes().get(index), validUntilUs, reply);
         messages.put(held.id, open);
@@ -177,6 +241,8 @@
             forget(open);
             control.onExpired(clock.nowUs(), id);
             touch();
+        } else if (leaving) {
+            journal.over(id);
         }
     }
 
@@ -211,6 +277,9 @@
         }
         control.onOutcome(clock.nowUs(), new Courier.Outcome(open.held.id, answer.result(), open.over,
                 call.endpoint(), clock.nowUs() - call.sentUs(), answer.waitUs(), answer.allowance()));
+        if (leaving) {
+            leave(open);
+        }
         touch();
     }
 
@@ -232,9 +301,11 @@
     private void pass() {
         passDue = false;
         final long fromUs = clock.nowUs();
-        heed();
         try {
-            control.decide(clock.nowUs());
+            if (!leaving) {
+                heed();
+                control.decide(clock.nowUs());
+            }
         } catch (final RuntimeException | Error e) {
             Log.failure("decisions failed", e);
         }
@@ -387,6 +458,30 @@
         touch();
     }
 
+    /**
+     * Another process takes this one's place: nothing more is decided or begun here. What has no call out is the next
+     * one's from this moment; the outcomes of the others go into the journal, which it reads.
+     */
+    void leave() {
+        pass();
+        leaving = true;
+        messages.values().removeIf(open -> open.call == null);
+        journal.leave(memories());
+        endpoints.closeAllIdle();
+    }
+
+    /** The outcome of a message's call has come: the next process goes on with it, with what is known now. */
+    private void leave(final Open open) {
+        messages.remove(open.held.id);
+        memories().stream().filter(memory -> memory.destination() == open.held.destination)
+                .forEach(journal::remember);
+    }
+
+    private List<Courier.Memory> memories() {
+        final long aheadUs = clock.wallUs() - clock.nowUs();
+        return control.memories().stream().map(memory -> memory.onClock(aheadUs)).toList();
+    }
+
     /** True when nothing is under way that the end of the process would cut off. */
     boolean idle() {
         return messages.isEmpty() && notices.isEmpty();
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -34,6 +35,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
@@ -68,6 +71,8 @@
     private static final long IDLE_US = 10_000_000;
     private static final long CROWDED_IDLE_US = 2_100_000;
     private static final double CROWDED_SHARE = 0.5;
+    /** How often the log tells of connections closed for lack of room. */
+    private static final long CROWDED_LOG_US = 5_000_000;
     /** In a drain a connection is closed once idle for so long, and each that is idle so long after its beginning. */
     private static final long DRAIN_IDLE_US = 2_000_000;
     private static final long DRAIN_US = 1_500_000;
@@ -75,6 +80,8 @@
     private static final long LINGER_MS = 500;
     private static final int MOST_DRAINED_BYTES = 1 << 18;
     private static final long SWEEP_MS = 200;
+    /** The loop has looked at its sockets again by then, and what it gave back is free. */
+    private static final long DEREGISTERED_MS = 2;
     /** For how long a request may have waited to be read, beyond what an end may be late anyway. */
     private static final long WAITED_US = 200_000;
     private static final long GONE_RETRY_US = 500_000;
@@ -88,23 +95,32 @@
     private final int mostConnections;
     private final Set<Session> sessions = new HashSet<>();
     private int heldBytes;
+    private ServerSocketChannel socket;
     private Channel listener;
     /** Since when the operators have drained it, as far as was noticed; never, while they have not. */
     private long drainedSinceUs = Long.MAX_VALUE;
     private boolean ending;
+    /** Connections closed for lack of room since the log last told, and when it may tell again. */
+    private int crowdedOut;
+    private long crowdedToldUs;
 
     Intake(final Config config, final Clock clock, final Host host, final Orders orders) {
         this.config = config;
         this.clock = clock;
         this.host = host;
         this.orders = orders;
+        // Not halved while two processes share the descriptors: clients may use a third of them, and all come at once.
         this.mostConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
     }
 
     /** Listens on the one address of the configuration; {@code /up} is answered from then on. */
-    ChannelFuture listen(final EventLoopGroup group, final EventLoop loop) {
+    ChannelFuture listen(final EventLoopGroup group, final EventLoop loop) throws IOException {
+        socket = ServerSocketChannel.open();
+        // The next process of this courier listens beside this one before this one stops.
+        socket.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        final ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        final ChannelFuture bound = new ServerBootstrap().group(group)
+                .channelFactory(() -> new NioServerSocketChannel(socket))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
@@ -133,6 +149,39 @@
         List.copyOf(sessions).forEach(Session::closeIfIdle);
     }
 
+    /** From now on answers end their connections; those on which nothing is asked are closed by and by. */
+    void leave() {
+        ending = true;
+        drainedSinceUs = clock.nowUs();
+    }
+
+    /**
+     * Accepts no further connection, and leaves none in the queue, which a close would reset: the library's close comes
+     * into force only when the loop looks at its sockets again. So the loop gives the listener back first; then what
+     * stands in the queue is accepted by hand, and the listener closed in the same breath.
+     */
+    void closeListener() {
+        final EventLoop loop = listener.eventLoop();
+        listener.deregister().addListener(done ->
+                loop.schedule(this::emptyAndClose, DEREGISTERED_MS, TimeUnit.MILLISECONDS));
+    }
+
+    private void emptyAndClose() {
+        try (ServerSocketChannel closing = socket) {
+            for (java.nio.channels.SocketChannel next = closing.accept(); next != null; next = closing.accept()) {
+                listener.pipeline().fireChannelRead(new NioSocketChannel(listener, next));
+            }
+        } catch (final IOException e) {
+            Log.info("the last connections could not be accepted: " + e.getMessage());
+        }
+        listener.close();
+    }
+
+    /** True when no client is connected any more. */
+    boolean isEmpty() {
+        return sessions.isEmpty() && !listener.isOpen();
+    }
+
     /** True while it takes no new clients: the process ends, or the operators have ordered it. */
     private boolean isDraining() {
         return ending || orders.standing().drain();
@@ -147,8 +196,13 @@
     /** Closes what is of no use, and answers what does not come to an end, before anyone has to ask why. */
     private void sweep() {
         final long nowUs = clock.nowUs();
-        drainedSinceUs = orders.standing().drain() ? Math.min(drainedSinceUs, nowUs) : Long.MAX_VALUE;
+        drainedSinceUs = isDraining() ? Math.min(drainedSinceUs, nowUs) : Long.MAX_VALUE;
         final long idleUs = idleUs(nowUs);
+        if (crowdedOut > 0 && nowUs - crowdedToldUs >= CROWDED_LOG_US) {
+            Log.info("closed " + crowdedOut + " connections of clients, with " + mostConnections + " at most");
+            crowdedOut = 0;
+            crowdedToldUs = nowUs;
+        }
         for (final Session session : List.copyOf(sessions)) {
             if (session.askedSinceUs <= nowUs - REQUEST_US && !session.isClosing()) {
                 session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
@@ -175,6 +229,7 @@
         if (sessions.size() <= mostConnections) {
             return;
         }
+        crowdedOut++;
         final long idleBeforeUs = clock.nowUs() - CROWDED_IDLE_US;
         sessions.stream().filter(session -> session != newest && session.usefulness(idleBeforeUs) < Session.IN_USE)
                 .min(Comparator.comparingInt((Session session) -> session.usefulness(idleBeforeUs))
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -1,8 +1,7 @@
 package driftchute.node;
 
-import java.io.ByteArrayInputStream;
+import driftchute.Courier;
 import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -11,10 +10,13 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.zip.CRC32C;
 
 /**
@@ -22,57 +24,213 @@
  * its length and CRC32C ahead; what a kill cut off at its end is dropped. When the file has grown to its bound, what is
  * still owed is written to a new file that takes its place at once. Nothing is synced: the folder outlasts the process,
  * and a machine that is lost loses the folder as well.
+ *
+ * <p>Each process writes a file of its own, and a lock tells that it lives. What an earlier process left, or still
+ * writes while it ends, is taken up from its file; until that is gone, the ends of what was taken up are kept here, so
+ * that the files together say what is owed whichever process dies.
  */
 final class Journal implements AutoCloseable {
     private static final String FILE = "journal";
-    private static final String NEXT_FILE = "journal.next";
+    private static final String NEXT = ".next";
     private static final int HEAD_BYTES = 2 * Integer.BYTES;
-    private static final int MOST_RECORD_BYTES = 1 << 17;
+    /** Names that are looked through: an upgrade needs two, and one that follows at once a third. */
+    private static final int MOST_FILES = 8;
     /** Share of the disk for one file: with the one that takes its place, four fifths are used at most. */
     private static final double FILE_SHARE = 0.4;
+    /** The same for a process that ends while the next one writes a file of its own beside it. */
+    private static final double LEAVING_SHARE = 0.3;
     /** Share of a file that messages may fill: the rest is for how they fare, which must always find room. */
     private static final double TAKE_SHARE = 0.6;
     /** Room that is reckoned for how a message fares, and its notice: attempts are few and short. */
     private static final int FATE_BYTES = 256;
     private static final int RECORDS = 3;
 
-    private static final byte TAKEN = 1;
-    private static final byte BEGUN = 2;
-    private static final byte SETTLED = 3;
-    private static final byte OWED = 4;
-    private static final byte OVER = 5;
+    static final byte TAKEN = 1;
+    static final byte BEGUN = 2;
+    static final byte SETTLED = 3;
+    static final byte OWED = 4;
+    static final byte OVER = 5;
+    static final byte MEMORY = 6;
 
     private final Path folder;
-    private final long fileBytes;
+    private final long diskBytes;
     private final Map<String, Held> live = new LinkedHashMap<>();
+    private final List<Predecessor> predecessors = new ArrayList<>();
+    /** Messages that have ended here while a predecessor's file may still name them. */
+    private final Set<String> ended = new HashSet<>();
+    private Path path;
+    private Lock lock;
+    private long fileBytes;
     private FileChannel file;
     private long size;
     private long liveBytes;
     /** A record could not be written: the file lacks it until what is known here is written anew. */
     private boolean behind;
+    /** The next process reads this file. */
+    private boolean leaving;
 
-    private Journal(final Path folder, final long diskBytes) {
+    /** A journal that is not open yet: no file is touched. */
+    Journal(final Path folder, final long diskBytes) {
         this.folder = folder;
+        this.diskBytes = diskBytes;
         this.fileBytes = (long) (FILE_SHARE * diskBytes);
     }
 
     /** Opens the journal of a folder, or begins it, and reads what the courier still owes. */
     static Journal open(final Path folder, final long diskBytes) throws IOException {
         final Journal journal = new Journal(folder, diskBytes);
+        journal.open();
+        return journal;
+    }
+
+    /** Opens the first file that no living process writes, and begins to read all others. */
+    void open() throws IOException {
         Files.createDirectories(folder);
+        for (int number = 0; number < MOST_FILES; number++) {
+            final Path next = folder.resolve(number == 0 ? FILE : FILE + "." + number);
+            final Lock nextLock = new Lock(folder.resolve(next.getFileName() + ".lock"));
+            if (path == null && nextLock.take()) {
+                path = next;
+                lock = nextLock;
+            } else if (Files.exists(next)) {
+                predecessors.add(new Predecessor(next, nextLock));
+            } else {
+                nextLock.close();
+            }
+        }
+        if (path == null) {
+            throw new IOException("all journals in " + folder + " are in use");
+        }
         // A kill in the middle of a compaction leaves this; the old file is still the whole truth.
-        Files.deleteIfExists(folder.resolve(NEXT_FILE));
-        journal.file = FileChannel.open(folder.resolve(FILE), StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
-        journal.load();
-        return journal;
+        Files.deleteIfExists(nextPath());
+        file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        load();
+    }
+
+    private Path nextPath() {
+        return path.resolveSibling(path.getFileName() + NEXT);
+    }
+
+    private void load() throws IOException {
+        final JournalReader reader = new JournalReader(file);
+        reader.read();
+        size = reader.position();
+        // A kill in the middle of a write leaves half a record; nothing was answered or sent on its strength.
+        if (size < file.size()) {
+            Log.info("journal: cut " + (file.size() - size) + " bytes of a torn tail at " + size);
+            file.truncate(size);
+        }
+        live.putAll(reader.live());
+        liveBytes = live.values().stream().mapToLong(Journal::bytes).sum();
+        if (!predecessors.isEmpty()) {
+            ended.addAll(reader.ended());
+        }
+    }
+
+    // ---------------------------------------------------------------- an earlier process
+
+    /**
+     * What the files of earlier processes brought. {@code mine}: messages that this one owes from now on; {@code over}:
+     * messages of this one that have ended there; {@code memories}: what was learnt of destinations there.
+     */
+    record News(List<Held> mine, List<String> over, List<Courier.Memory> memories) { }
+
+    /** True while an earlier process may still be at work, or its file is not taken up whole. */
+    boolean hasPredecessors() {
+        return !predecessors.isEmpty();
+    }
+
+    /** Reads on in the files of earlier processes, and records what this one takes up of them. */
+    News poll() {
+        final News news = new News(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+        for (final Predecessor predecessor : List.copyOf(predecessors)) {
+            try {
+                if (predecessor.poll()) {
+                    takeUp(predecessor, news);
+                }
+                if (predecessor.isGone() && !behind) {
+                    predecessor.remove();
+                    predecessors.remove(predecessor);
+                }
+            } catch (final IOException e) {
+                Log.info("journal: cannot read an earlier process's: " + e.getMessage());
+            }
+        }
+        if (predecessors.isEmpty()) {
+            ended.clear();
+        }
+        return news;
+    }
+
+    private void takeUp(final Predecessor predecessor, final News news) {
+        final JournalReader reader = predecessor.reader();
+        news.memories().addAll(reader.takeMemories());
+        for (final Held held : reader.live().values()) {
+            final Held own = live.get(held.id);
+            // With a call out it is the earlier process's, until that has ended the call or is gone itself.
+            final boolean free = !held.isOut() || predecessor.isGone();
+            if (free && !ended.contains(held.id) && (own == null || held != own && held.isAheadOf(own))) {
+                adopt(held);
+                news.mine().add(held);
+            }
+        }
+        live.keySet().stream().filter(reader.ended()::contains).forEach(news.over()::add);
+        ended.addAll(reader.ended());
+    }
+
+    /** Records a message of an earlier process as this one's, with all that became of it: there is no refusing it. */
+    private void adopt(final Held held) {
+        final Held before = live.put(held.id, held);
+        liveBytes += bytes(held) - (before == null ? 0 : bytes(before));
+        records(held).forEach(this::append);
+    }
+
+    /** This process ends its calls and takes no more decisions: the next one reads from a short file what it owes. */
+    void leave(final List<Courier.Memory> memories) {
+        try {
+            compact();
+        } catch (final IOException e) {
+            Log.info("journal: cannot be written anew: " + e.getMessage());
+        }
+        // From here on the next one reads this very file: it grows, and is not written anew.
+        leaving = true;
+        fileBytes = (long) (LEAVING_SHARE * diskBytes);
+        memories.forEach(this::remember);
+    }
+
+    /** Records what was learnt of a destination, for the next process. */
+    void remember(final Courier.Memory memory) {
+        append(record(MEMORY, "", out -> {
+            out.writeLong(memory.destination());
+            out.writeInt(memory.callsOut());
+            out.writeInt(memory.phase().ordinal());
+            out.writeLong(memory.waitUntilUs());
+            out.writeLong(memory.pauseUntilUs());
+            out.writeLong(memory.troubleFromUs());
+            out.writeLong(memory.rampFromUs());
+            out.writeDouble(memory.rampSpanUs());
+            out.writeDouble(memory.window());
+            out.writeDouble(memory.rate());
+            out.writeDouble(memory.callRate());
+            out.writeDouble(memory.limit());
+            out.writeDouble(memory.shareLeft());
+            out.writeDouble(memory.spacing());
+            out.writeDouble(memory.pace());
+        }));
     }
 
+    // ---------------------------------------------------------------- what becomes of messages
+
     /** What the courier owes an end or a notice, in the order taken. */
     Collection<Held> live() {
         return List.copyOf(live.values());
     }
 
+    /** How many messages that is. */
+    int count() {
+        return live.size();
+    }
+
     /** True while an end or a notice is owed for a message of that id. */
     boolean holds(final String id) {
         return live.containsKey(id);
@@ -118,15 +276,25 @@
 
     /** Records that nothing is owed for a message any more. */
     void over(final Held held) {
-        if (live.remove(held.id) != null) {
+        over(held.id);
+    }
+
+    /** The same for a message of which only the id is known. */
+    void over(final String id) {
+        final Held held = live.remove(id);
+        if (held != null) {
             liveBytes -= bytes(held);
-            append(record(OVER, held.id, out -> { }));
+            if (!predecessors.isEmpty()) {
+                ended.add(id);
+            }
+            append(record(OVER, id, out -> { }));
         }
     }
 
     @Override
     public void close() throws IOException {
         file.close();
+        lock.close();
     }
 
     private static long bytes(final Held held) {
@@ -175,6 +343,22 @@
         });
     }
 
+    /** All that there is to say of a message. */
+    private static List<ByteBuffer> records(final Held held) {
+        final List<ByteBuffer> records = new ArrayList<>();
+        records.add(taken(held));
+        if (held.isOut()) {
+            records.add(record(BEGUN, held.id, out -> {
+                out.writeLong(held.outWallUs());
+                out.writeUTF(held.outZone());
+            }));
+        }
+        if (held.notice() != null) {
+            records.add(owed(held));
+        }
+        return records;
+    }
+
     private static ByteBuffer owed(final Held held) {
         return record(OWED, held.id, out -> {
             out.writeBoolean(held.notice().failed());
@@ -184,6 +368,9 @@
 
     private boolean append(final ByteBuffer record) {
         try {
+            if (leaving && (behind || size + record.capacity() > fileBytes)) {
+                throw new IOException("no room is left for a process that ends");
+            }
             if (behind || size + record.capacity() > fileBytes) {
                 compact();
             }
@@ -208,24 +395,20 @@
 
     /** Writes what is owed to a new file and puts it in the place of the old one in one step. */
     private void compact() throws IOException {
-        final Path next = folder.resolve(NEXT_FILE);
+        final Path next = nextPath();
         final FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE,
                 StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.READ, StandardOpenOption.WRITE);
         long written = 0;
         try {
             for (final Held held : live.values()) {
-                written = copy(fresh, taken(held), written);
-                if (held.isOut()) {
-                    written = copy(fresh, record(BEGUN, held.id, out -> {
-                        out.writeLong(held.outWallUs());
-                        out.writeUTF(held.outZone());
-                    }), written);
-                }
-                if (held.notice() != null) {
-                    written = copy(fresh, owed(held), written);
+                for (final ByteBuffer record : records(held)) {
+                    written = copy(fresh, record, written);
                 }
             }
-            Files.move(next, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE);
+            for (final String id : ended) {
+                written = copy(fresh, record(OVER, id, out -> { }), written);
+            }
+            Files.move(next, path, StandardCopyOption.ATOMIC_MOVE);
         } catch (final IOException e) {
             fresh.close();
             throw e;
@@ -240,60 +423,4 @@
         write(to, record, at);
         return at + record.capacity();
     }
-
-    // ---------------------------------------------------------------- reading
-
-    private void load() throws IOException {
-        final ByteBuffer all = ByteBuffer.allocate((int) file.size());
-        while (all.hasRemaining() && file.read(all) >= 0) {
-            continue;
-        }
-        all.flip();
-        while (all.remaining() >= HEAD_BYTES) {
-            final int length = all.getInt(all.position());
-            final int start = all.position() + HEAD_BYTES;
-            if (length <= 0 || length > MOST_RECORD_BYTES || length > all.limit() - start) {
-                break;
-            }
-            final CRC32C crc = new CRC32C();
-            crc.update(all.array(), start, length);
-            if ((int) crc.getValue() != all.getInt(all.position() + Integer.BYTES)) {
-                break;
-            }
-            apply(new DataInputStream(new ByteArrayInputStream(all.array(), start, length)));
-            all.position(start + length);
-        }
-        size = all.position();
-        // A kill in the middle of a write leaves half a record; nothing was answered or sent on its strength.
-        if (size < file.size()) {
-            Log.info("journal: cut " + (file.size() - size) + " bytes of a torn tail at " + size);
-            file.truncate(size);
-        }
-        liveBytes = live.values().stream().mapToLong(Journal::bytes).sum();
-    }
-
-    private void apply(final DataInputStream in) throws IOException {
-        final byte type = in.readByte();
-        final String id = in.readUTF();
-        final Held held = live.get(id);
-        if (type == TAKEN) {
-            final String className = in.readUTF();
-            final boolean keyed = in.readBoolean();
-            final String key = in.readUTF();
-            final long destination = in.readLong();
-            final long validUntilWallUs = in.readLong();
-            final byte[] body = in.readNBytes(in.readInt());
-            final Held taken = new Held(id, className, keyed ? key : null, destination, validUntilWallUs, body);
-            taken.restore(in.readInt(), in.readLong(), in.readUTF());
-            live.put(id, taken);
-        } else if (held != null) {
-            switch (type) {
-                case BEGUN -> held.begin(in.readLong(), in.readUTF());
-                case SETTLED -> held.settle(in.readBoolean());
-                case OWED -> held.owe(new Held.Notice(in.readBoolean(), in.readLong()));
-                case OVER -> live.remove(id);
-                default -> Log.info("journal: unknown record " + type);
-            }
-        }
-    }
 }
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /** Starts a real courier, has it read its configuration again on SIGHUP, and ends it in order on SIGTERM. */
 public final class Main {
@@ -17,6 +18,8 @@
     /** When the process ends after SIGTERM: SIGKILL comes no sooner than 3.7 s after it. */
     private static final long STOP_MS = 3100;
     private static final long STOP_CHECK_MS = 20;
+    /** How often it is looked whether another process has let go, or listens. */
+    private static final long SEEK_MS = 10;
     private static final long US_PER_MS = 1000;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -24,7 +27,11 @@
     private final Clock clock = new Clock();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Map<String, String> environment;
-    private volatile boolean serving;
+    /** It can serve: it does, or stands by to do so. */
+    private volatile boolean ready;
+    /** It has taken the place of the one before; only the loop asks. */
+    private boolean serving;
+    private Handover handover;
     private Host host;
     private Intake intake;
 
@@ -50,16 +57,27 @@
         // First of all: until this is in place, a SIGHUP ends the process.
         Hangup.onSignal(this::reload);
         final Config config = Config.read(environment);
-        final Journal journal = Journal.open(config.state(), config.diskBytes());
+        handover = new Handover(config.state());
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
         final Orders orders = new Orders(config.state());
-        // A drain is the running courier's: one that starts anew is there to serve.
-        orders.change(standing -> standing.drained(false));
+        if (handover.serve()) {
+            // A drain is the running courier's: one that starts anew is there to serve.
+            orders.change(standing -> standing.drained(false));
+        }
+        onLoop(() -> run(config, orders));
+    }
+
+    /** A step of the start; if it fails, no courier is left that is never ready. */
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    private void onLoop(final Step step) {
         loop.execute(() -> {
             try {
-                run(config, journal, orders);
-            } catch (final IllegalArgumentException e) {
-                // On the loop's thread this would be swallowed, and a courier left that is never ready.
+                step.run();
+            } catch (final IllegalArgumentException | IOException e) {
+                // On the loop's thread this would be swallowed.
                 giveUp(e.getMessage());
             }
         });
@@ -71,14 +89,34 @@
     }
 
     /** Builds everything on the event loop, which owns it all from then on. */
-    private void run(final Config config, final Journal journal, final Orders orders) {
-        host = new Host(config, loop, clock, journal, orders);
+    private void run(final Config config, final Orders orders) throws IOException {
+        host = new Host(config, loop, clock, new Journal(config.state(), config.diskBytes()), orders);
         intake = new Intake(config, clock, host, orders);
         host.start();
         manage(config, orders);
+        seek(config);
+    }
+
+    /** Serves as soon as no other process of this courier does; until then it stands by, and is as good as ready. */
+    private void seek(final Config config) throws IOException {
+        if (handover.serve()) {
+            serve(config);
+            return;
+        }
+        if (!ready && handover.standBy()) {
+            ready = true;
+            Log.info(config.name() + " stands by");
+        }
+        loop.schedule(() -> onLoop(() -> seek(config)), SEEK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void serve(final Config config) throws IOException {
+        serving = true;
+        host.takeUp();
         intake.listen(group, loop).addListener(bound -> {
             if (bound.isSuccess()) {
-                serving = true;
+                ready = true;
+                handover.served();
                 Log.info(config.name() + " is ready at " + intake.address());
             } else {
                 giveUp("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
@@ -91,7 +129,7 @@
         if (config.mgmt() == null) {
             return;
         }
-        final ChannelFuture bound = new Management(config, orders, () -> serving, host::hasListed).listen(config);
+        final ChannelFuture bound = new Management(config, orders, () -> ready, host::hasListed).listen(config);
         bound.addListener(done -> {
             if (done.isSuccess()) {
                 Log.info("the second address is " + bound.channel().localAddress().toString().replaceFirst(".*/", ""));
@@ -118,25 +156,25 @@
         }
     }
 
-    /** On SIGTERM: goes on for a while, and leaves what is not done by then to the next process. */
+    /** On SIGTERM: leaves its place to the process that stands by, or what is not done in time to the next start. */
     private void stop() {
         loop.execute(() -> {
-            if (intake == null) {
+            if (!serving) {
+                // It took nothing on: whoever serves goes on.
                 stopped.countDown();
                 return;
             }
-            final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
-            serving = false;
-            intake.drain();
-            host.stopping(stopUs);
-            loop.schedule(() -> {
-                intake.stopListening();
-                loop.scheduleWithFixedDelay(() -> {
-                    if (host.idle() || clock.nowUs() >= stopUs) {
-                        stopped.countDown();
-                    }
-                }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
-            }, LISTEN_MS, TimeUnit.MILLISECONDS);
+            try {
+                ready = false;
+                if (handover.hasNext()) {
+                    leave();
+                } else {
+                    drain();
+                }
+            } catch (final IOException e) {
+                Log.failure("the locks cannot be used", e);
+                drain();
+            }
         });
         try {
             if (!stopped.await(STOP_MS + LISTEN_MS / 2, TimeUnit.MILLISECONDS)) {
@@ -146,4 +184,53 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    /** Nobody stands by: goes on for a while, and leaves what is not done by then to the next start. */
+    private void drain() {
+        final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
+        intake.drain();
+        host.stopping(stopUs);
+        loop.schedule(() -> {
+            intake.stopListening();
+            stopWhen(stopUs, host::idle);
+        }, LISTEN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Another process takes this one's place: ends its calls and its clients' connections, and no more. */
+    private void leave() throws IOException {
+        final long fromUs = clock.nowUs();
+        Log.info("another process takes over");
+        intake.leave();
+        host.leave();
+        handover.letGo();
+        loop.execute(() -> stopListening(fromUs + LISTEN_MS * US_PER_MS));
+        stopWhen(fromUs + STOP_MS * US_PER_MS, () -> host.idle() && intake.isEmpty());
+    }
+
+    /** Listens until the next process does, or does not come. */
+    private void stopListening(final long byUs) {
+        final boolean done = isTakenOver();
+        if (done || clock.nowUs() >= byUs) {
+            Log.info(done ? "the next process listens" : "the next process does not listen; what is held waits for it");
+            intake.closeListener();
+        } else {
+            loop.schedule(() -> stopListening(byUs), SEEK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean isTakenOver() {
+        try {
+            return handover.isDone();
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
+    private void stopWhen(final long stopUs, final BooleanSupplier done) {
+        loop.scheduleWithFixedDelay(() -> {
+            if (done.getAsBoolean() || clock.nowUs() >= stopUs) {
+                stopped.countDown();
+            }
+        }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+    }
 }
--- a/src/test/java/driftchute/node/JournalTest.java
+++ b/src/test/java/driftchute/node/JournalTest.java
@@ -182,6 +182,77 @@
         assertFalse(Files.exists(folder.resolve("journal.next")));
     }
 
+    /** While the first process ends its calls, the next one takes up what has no call out, and the rest in turn. */
+    @Test
+    void theNextProcessTakesUpWhatTheOneBeforeLeavesToIt() throws IOException {
+        final Held waiting = held("waiting", 10);
+        final Held out = held("out", 10);
+        final Held failing = held("failing", 10);
+        final Journal old = Journal.open(folder, DISK_BYTES);
+        Stream.of(waiting, out, failing).forEach(one -> assertTrue(old.take(one)));
+        assertTrue(old.begin(out, 1000, "a") && old.begin(failing, 1000, "a"));
+        old.leave(List.of());
+        final Journal next = Journal.open(folder, DISK_BYTES);
+        assertEquals(List.of("waiting"), ids(next.poll().mine()));
+        assertEquals(List.of(), ids(next.poll().mine()), "once");
+        old.settle(failing, true);
+        assertTrue(old.take(held("late", 10)));
+        assertEquals(List.of("failing", "late"), ids(next.poll().mine()));
+        next.over("late");
+        old.over(out);
+        old.over(waiting);
+        assertEquals(List.of("waiting"), next.poll().over(), "its client went before it heard that it was taken");
+        assertTrue(next.hasPredecessors());
+        old.close();
+        assertEquals(List.of(), ids(next.poll().mine()), "what has ended here is not taken up again");
+        assertFalse(next.hasPredecessors());
+        next.close();
+    }
+
+    /** The next one dies too, while the old file still names what it ended: nothing that has ended comes back. */
+    @Test
+    void endsOfWhatWasTakenUpOutlastBothProcessesAndACompaction() throws IOException {
+        final Journal old = Journal.open(folder, DISK_BYTES);
+        Stream.of("ended", "owed", "out").forEach(id -> assertTrue(old.take(held(id, 100))));
+        assertTrue(old.begin(old.live().stream().filter(one -> one.id.equals("out")).findFirst().orElseThrow(), 5, "a"));
+        old.leave(List.of());
+        final Journal next = Journal.open(folder, DISK_BYTES);
+        final List<Held> mine = next.poll().mine();
+        assertEquals(List.of("ended", "owed"), ids(mine));
+        assertTrue(next.begin(mine.get(0), 7, "b") && next.begin(mine.get(1), 7, "b"));
+        next.over(mine.get(0));
+        for (int round = 0; round < 500; round++) {
+            final Held passing = held("m" + round, 200);
+            assertTrue(next.take(passing));
+            next.over(passing);
+        }
+        next.close();
+        old.close();
+        try (Journal third = Journal.open(folder, DISK_BYTES)) {
+            third.poll().over().forEach(third::over);
+            assertEquals(List.of("out", "owed"), third.live().stream().map(one -> one.id).sorted().toList());
+            assertTrue(third.live().stream().allMatch(Held::isOut), "calls that were out at either may have run");
+            assertFalse(third.hasPredecessors());
+        }
+        assertEquals(2, reopened().size());
+    }
+
+    @Test
+    void whatWasLearntOfDestinationsIsReadByTheNextProcess() throws IOException {
+        final Courier.Memory memory = new Courier.Memory(7, 3, Courier.Phase.RAMP, 1, 2, 3, 4, 5.5, 6, 7, 8, 9, 0.5, 11, 12);
+        try (Journal old = Journal.open(folder, DISK_BYTES)) {
+            old.leave(List.of(memory));
+            try (Journal next = Journal.open(folder, DISK_BYTES)) {
+                assertEquals(List.of(memory), next.poll().memories());
+                assertEquals(List.of(), next.poll().memories());
+            }
+        }
+    }
+
+    private static List<String> ids(final List<Held> some) {
+        return some.stream().map(one -> one.id).toList();
+    }
+
     private long used() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             return files.mapToLong(file -> file.toFile().length()).sum();
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -49,6 +49,7 @@
     /** The whole list, where it is asked for. */
     volatile String movedHosts = "";
     private final Path folder;
+    private final List<Process> processes = new ArrayList<>();
     private Process process;
     private int port;
     private int mgmtPort;
@@ -107,19 +108,54 @@
     }
 
     Socket connectToMgmt() throws IOException {
-        final Socket socket = new Socket("127.0.0.1", mgmtPort);
+        return connectTo(mgmtPort);
+    }
+
+    private static Socket connectTo(final int port) throws IOException {
+        final Socket socket = new Socket("127.0.0.1", port);
         socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_S));
         return socket;
     }
 
     /** Makes a call on the second address; the result is all that was answered. */
     String call(final String line) throws IOException {
-        try (Socket socket = connectToMgmt()) {
+        return call(mgmtPort, line);
+    }
+
+    /** The same at the second address of a certain process. */
+    static String call(final int port, final String line) throws IOException {
+        try (Socket socket = connectTo(port)) {
             socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         }
     }
 
+    /** Starts the program once more beside itself, with a second address of its own; the result is the one before. */
+    Process startBeside() throws IOException {
+        final Process before = process;
+        final int from = log.size();
+        launch();
+        await("standing by", () -> line(from, "stands by") != null);
+        await("the second address", () -> line(from, "the second address is") != null);
+        mgmtPort = portIn(line(from, "the second address is"));
+        await("its yes", () -> {
+            try {
+                return call("check").startsWith("OK");
+            } catch (final IOException e) {
+                return false;
+            }
+        });
+        return before;
+    }
+
+    int mgmtPort() {
+        return mgmtPort;
+    }
+
+    boolean hasLogged(final String text) {
+        return line(0, text) != null;
+    }
+
     /** Starts the program without waiting for anything. */
     Process launch() throws IOException {
         final Path config = configure(platform.address());
@@ -130,6 +166,7 @@
         builder.environment().put("PROXY_DISCOVERY", platform.address());
         builder.environment().put("PROXY_STATE", folder.resolve("state").toString());
         process = builder.redirectErrorStream(true).start();
+        processes.add(process);
         final BufferedReader out = new BufferedReader(
                 new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         final Thread reader = new Thread(() -> out.lines().forEach(log::add));
@@ -142,7 +179,7 @@
     Path configure(final String discovery) throws IOException {
         final Path config = folder.resolve("config.json");
         Files.writeString(config, """
-                {"name":"n0","listen":"127.0.0.1:0","mgmt":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                {"name":"n0","listen":"127.0.0.1:%d","mgmt":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%d},
                  "known":{"seq":41,"whole":true,"hosts":[%s]},
                  "settings":{"balancers":1,"my_zone":"a","discovery":"%s","weights":"nominal",
@@ -150,10 +187,19 @@
                   "guarantees":{"must_ask_in":10000000,"cold_from":0.5,"cold":1000000,"tip_multiple":2.0},
                   "limits":{"max_open":%d,"most_tries":8,"cancel":true,"idle_close":10000000,"retry_after":true,
                    "connect_timeout":1000000,"max_retry_after":2000000},%s}}"""
-                .formatted(discovery, diskMb, hosts, listMode, CLASSES, maxOpen, extraSetting));
+                .formatted(beside() ? port : 0, discovery, diskMb, hosts, listMode, CLASSES, maxOpen, extraSetting));
         return config;
     }
 
+    /** That process is the one that serves. */
+    void resume(final Process serving) {
+        process = serving;
+    }
+
+    private boolean beside() {
+        return process != null && process.isAlive();
+    }
+
     /** Ends the process as a power cut would, and starts the next one on the same folder. */
     void killAndRestart() throws IOException, InterruptedException {
         kill();
@@ -170,6 +216,11 @@
         assertTrue(new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor() == 0);
     }
 
+    /** Sends SIGTERM, and still reads what the process logs while it ends. */
+    static void terminate(final Process process) throws IOException, InterruptedException {
+        assertTrue(new ProcessBuilder("kill", "-TERM", Long.toString(process.pid())).start().waitFor() == 0);
+    }
+
     boolean isRunning() {
         return process.isAlive();
     }
@@ -236,9 +287,7 @@
 
     @Override
     public void close() throws IOException {
-        if (process != null) {
-            process.destroyForcibly();
-        }
+        processes.forEach(Process::destroyForcibly);
         platform.close();
         moved.close();
         first.close();
