--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -38,6 +38,7 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
@@ -45,6 +46,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /**
  * Where clients hand messages in. A message that is taken is answered in the pass that read it; whatever cannot be
@@ -100,8 +102,9 @@
     /** Since when the operators have drained it, as far as was noticed; never, while they have not. */
     private long drainedSinceUs = Long.MAX_VALUE;
     private boolean ending;
-    /** Connections closed for lack of room since the log last told, and when it may tell again. */
-    private int crowdedOut;
+    /** Connections closed for lack of room since the log last told, by their use; and when it may tell again. */
+    private final int[] crowdedOut = new int[Session.IN_USE + 1];
+    private int unfinished;
     private long crowdedToldUs;
 
     Intake(final Config config, final Clock clock, final Host host, final Orders orders) {
@@ -198,13 +201,10 @@
         final long nowUs = clock.nowUs();
         drainedSinceUs = isDraining() ? Math.min(drainedSinceUs, nowUs) : Long.MAX_VALUE;
         final long idleUs = idleUs(nowUs);
-        if (crowdedOut > 0 && nowUs - crowdedToldUs >= CROWDED_LOG_US) {
-            Log.info("closed " + crowdedOut + " connections of clients, with " + mostConnections + " at most");
-            crowdedOut = 0;
-            crowdedToldUs = nowUs;
-        }
+        tellCrowd(nowUs);
         for (final Session session : List.copyOf(sessions)) {
             if (session.askedSinceUs <= nowUs - REQUEST_US && !session.isClosing()) {
+                unfinished++;
                 session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
             } else if (session.isIdle()
                     && session.sinceUs <= nowUs - (session.hasAsked ? idleUs : REQUEST_US)) {
@@ -213,6 +213,18 @@
         }
     }
 
+    private void tellCrowd(final long nowUs) {
+        if (nowUs - crowdedToldUs < CROWDED_LOG_US || unfinished == 0 && IntStream.of(crowdedOut).sum() == 0) {
+            return;
+        }
+        Log.info("of " + mostConnections + " connections of clients at most, closed to make room: " + crowdedOut[0]
+                + " rejected, " + crowdedOut[1] + " that never asked, " + crowdedOut[2] + " unfinished, " + crowdedOut[3]
+                + " idle, " + crowdedOut[Session.IN_USE] + " new; rejected as too slow: " + unfinished);
+        Arrays.fill(crowdedOut, 0);
+        unfinished = 0;
+        crowdedToldUs = nowUs;
+    }
+
     /** For how long a connection may be idle now. */
     private long idleUs(final long nowUs) {
         if (drainedSinceUs != Long.MAX_VALUE) {
@@ -229,12 +241,13 @@
         if (sessions.size() <= mostConnections) {
             return;
         }
-        crowdedOut++;
         final long idleBeforeUs = clock.nowUs() - CROWDED_IDLE_US;
-        sessions.stream().filter(session -> session != newest && session.usefulness(idleBeforeUs) < Session.IN_USE)
+        final Session least = sessions.stream().filter(session -> session != newest && session.usefulness(idleBeforeUs) < Session.IN_USE)
                 .min(Comparator.comparingInt((Session session) -> session.usefulness(idleBeforeUs))
                         .thenComparingLong(session -> session.sinceUs))
-                .orElse(newest).drop();
+                .orElse(newest);
+        crowdedOut[least.usefulness(idleBeforeUs)]++;
+        least.drop();
     }
 
     /** A whole request that waits for its turn on its connection. */
