Let a client write for 2 s, and close who stopped half way before who still writes

Fault: a request was cut off 2 s after its first byte, while clients may write for 2 s; and among unfinished requests the oldest went first, which is the slow writer (the new test: its pipe breaks without the change).

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -67,8 +67,10 @@
     private static final int BACKLOG = 256;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
-    /** How long a request may take to come in whole, and a new connection to begin one. */
-    private static final long REQUEST_US = 2_000_000;
+    /** How long a new connection may take to begin a request. */
+    private static final long BEGIN_US = 2_000_000;
+    /** How long a request may take to come in whole: some clients write for 2 s; who never ends is told within 3 s. */
+    private static final long REQUEST_US = 2_500_000;
     /** How long a connection is kept between requests, and how long where there are many. */
     private static final long IDLE_US = 10_000_000;
     private static final long CROWDED_IDLE_US = 2_100_000;
@@ -203,11 +205,11 @@
         final long idleUs = idleUs(nowUs);
         tellCrowd(nowUs);
         for (final Session session : List.copyOf(sessions)) {
-            if (session.askedSinceUs <= nowUs - REQUEST_US && !session.isClosing()) {
+            if (session.wholeByUs() <= nowUs && !session.isClosing()) {
                 unfinished++;
                 session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
             } else if (session.isIdle()
-                    && session.sinceUs <= nowUs - (session.hasAsked ? idleUs : REQUEST_US)) {
+                    && session.sinceUs <= nowUs - (session.hasAsked ? idleUs : BEGIN_US)) {
                 session.drop();
             }
         }
@@ -235,7 +237,8 @@
 
     /**
      * Too many connections: one makes room. First those that are rejected already, then those that never asked, then
-     * those whose request does not end, then those that have long been idle; failing these, the newest goes.
+     * those whose request does not end, the one that has long sent nothing first, then those that have long been idle;
+     * failing these, the newest goes.
      */
     private void makeRoom(final Session newest) {
         if (sessions.size() <= mostConnections) {
@@ -244,7 +247,7 @@
         final long idleBeforeUs = clock.nowUs() - CROWDED_IDLE_US;
         final Session least = sessions.stream().filter(session -> session != newest && session.usefulness(idleBeforeUs) < Session.IN_USE)
                 .min(Comparator.comparingInt((Session session) -> session.usefulness(idleBeforeUs))
-                        .thenComparingLong(session -> session.sinceUs))
+                        .thenComparingLong(Session::stillSinceUs))
                 .orElse(newest);
         crowdedOut[least.usefulness(idleBeforeUs)]++;
         least.drop();
@@ -273,6 +276,18 @@
         /** Since when it has been of no use, and since when a request has been coming in. */
         private long sinceUs = clock.nowUs();
         private long askedSinceUs = Long.MAX_VALUE;
+        /** When bytes last came. */
+        private long cameUs;
+
+        /** Until when the request that is coming in must be whole. */
+        private long wholeByUs() {
+            return Intake.wholeByUs(hasAsked ? askedSinceUs : sinceUs, askedSinceUs);
+        }
+
+        /** Since when nothing has come: who writes slowly is not taken for one that has stopped half way. */
+        private long stillSinceUs() {
+            return Math.max(sinceUs, cameUs);
+        }
 
         private boolean isIdle() {
             return askedSinceUs == Long.MAX_VALUE && current == null && queue.isEmpty() && !isClosing();
@@ -349,8 +364,9 @@
 
         /** Bytes have come, perhaps too few to make a head. */
         private void bytesCame() {
+            cameUs = clock.nowUs();
             if (askedSinceUs == Long.MAX_VALUE) {
-                askedSinceUs = clock.nowUs();
+                askedSinceUs = cameUs;
             }
         }
 
@@ -590,6 +606,14 @@
         }
     }
 
+    /**
+     * Until when a request must be whole that began to come in at {@code askedSinceUs} (never: none does): on a new
+     * connection its time runs from the connection's beginning.
+     */
+    static long wholeByUs(final long fromUs, final long askedSinceUs) {
+        return askedSinceUs == Long.MAX_VALUE ? Long.MAX_VALUE : fromUs + REQUEST_US;
+    }
+
     /**
      * How long a message that is read now may still be delivered. Its time runs from when it was sent, and it may have
      * waited to be read for nearly as long as a client waits for an answer: without a margin its end could be told too
--- a/src/test/java/driftchute/node/BadClientTest.java
+++ b/src/test/java/driftchute/node/BadClientTest.java
@@ -176,4 +176,37 @@
         final String head = Rig.message("m1", "safe").replace("Length: 5", "Length: 60000000").replace("hello", "");
         assertTrue(tell(head).startsWith("HTTP/1.1 413"));
     }
+
+    /** Some clients take two seconds to write a message, and who never ends is still told within three. */
+    @Test
+    void aRequestMayBeWrittenForTwoSecondsButNotForThree() {
+        assertEquals(Long.MAX_VALUE, Intake.wholeByUs(0, Long.MAX_VALUE), "none is coming in");
+        final long wholeByUs = Intake.wholeByUs(5_000_000, 5_100_000) - 5_000_000;
+        assertTrue(wholeByUs > 2_300_000 && wholeByUs < 2_700_000, "after " + wholeByUs);
+    }
+
+    /** More connections than there is room for, all stopped half way: one that still writes is not among those closed. */
+    @Test
+    void aCrowdThatStopsHalfWayDoesNotPushOutOneThatWritesSlowly() throws IOException, InterruptedException {
+        rig.kill();
+        rig.sockets = 100;
+        rig.start();
+        final byte[] message = Rig.message("slow", "safe").getBytes(StandardCharsets.ISO_8859_1);
+        final List<Socket> crowd = new ArrayList<>();
+        try (Socket slow = rig.connect()) {
+            for (int sent = 0; sent < message.length; sent++) {
+                slow.getOutputStream().write(message[sent]);
+                final Socket stopped = rig.connect();
+                crowd.add(stopped);
+                stopped.getOutputStream().write("POST /safe HTT".getBytes(StandardCharsets.ISO_8859_1));
+                // Its answer tells that the loop has read what was written before.
+                assertEquals(200, rig.send("GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").status());
+            }
+            assertEquals(202, Rig.read(slow.getInputStream()).status());
+        } finally {
+            for (final Socket socket : crowd) {
+                socket.close();
+            }
+        }
+    }
 }
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -41,6 +41,7 @@
     volatile int noticeStatus = 204;
     int maxOpen = 50;
     int diskMb = 3;
+    int sockets = 1024;
     /** How the simulator's instances of such a site get the list. */
     String listMode = "on_request";
     String extraSetting = "\"unheard_of\":[{\"x\":1}]";
@@ -180,14 +181,14 @@
         final Path config = folder.resolve("config.json");
         Files.writeString(config, """
                 {"name":"n0","listen":"127.0.0.1:%d","mgmt":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
-                 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%d},
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":%d,"disk_mb":%d},
                  "known":{"seq":41,"whole":true,"hosts":[%s]},
                  "settings":{"balancers":1,"my_zone":"a","discovery":"%s","weights":"nominal",
                   "classes":%s,"flavors":["std"],"extra":{"calls_out":12,"per_call":[5],"routes_apart":[false]},
                   "guarantees":{"must_ask_in":10000000,"cold_from":0.5,"cold":1000000,"tip_multiple":2.0},
                   "limits":{"max_open":%d,"most_tries":8,"cancel":true,"idle_close":10000000,"retry_after":true,
                    "connect_timeout":1000000,"max_retry_after":2000000},%s}}"""
-                .formatted(beside() ? port : 0, discovery, diskMb, hosts, listMode, CLASSES, maxOpen, extraSetting));
+                .formatted(beside() ? port : 0, discovery, sockets, diskMb, hosts, listMode, CLASSES, maxOpen, extraSetting));
         return config;
     }
 
