--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -15,6 +15,8 @@
 public final class Main {
     /** After SIGTERM new connections still come for up to 0.4 s. */
     private static final long LISTEN_MS = 550;
+    /** The same where another process takes over: one that is slow to listen is waited for, and clients are served. */
+    private static final long LEAVE_LISTEN_MS = 2500;
     /** When the process ends after SIGTERM: SIGKILL comes no sooner than 3.7 s after it. */
     private static final long STOP_MS = 3100;
     private static final long STOP_CHECK_MS = 20;
@@ -203,7 +205,7 @@
         intake.leave();
         host.leave();
         handover.letGo();
-        loop.execute(() -> stopListening(fromUs + LISTEN_MS * US_PER_MS));
+        loop.execute(() -> stopListening(fromUs + LEAVE_LISTEN_MS * US_PER_MS));
         stopWhen(fromUs + STOP_MS * US_PER_MS, () -> host.idle() && intake.isEmpty());
     }
 
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -874,4 +874,69 @@
         }
         assertTrue(scene.sent.stream().anyMatch(send -> send.endpoint() == 1), scene.sent.toString());
     }
+
+    private static Courier.Memory memory(final int callsOut, final Courier.Phase phase, final long waitUntilUs) {
+        return new Courier.Memory(DEST, callsOut, phase, waitUntilUs, 0, Long.MAX_VALUE, 0, 0, 8, 5, 5, 0, 0,
+                Double.POSITIVE_INFINITY, 1);
+    }
+
+    /** A wait that the process before was told binds this one too: they are one courier. */
+    @Test
+    void aWaitToldToTheProcessBeforeIsKept() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings());
+        scene.control.onMemory(scene.nowUs, memory(0, Courier.Phase.WELL, scene.nowUs + SECOND));
+        scene.take("m", 0);
+        scene.pass(SECOND - MS);
+        assertEquals(0, scene.count("m"));
+        scene.pass(100 * MS);
+        assertEquals(1, scene.count("m"));
+    }
+
+    /** Calls that the process before still has out count against slots and shares until they end. */
+    @Test
+    void callsOfTheProcessBeforeCountUntilTheyEnd() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings(4, 1, false, false));
+        scene.control.onMemory(scene.nowUs, memory(3, Courier.Phase.WELL, 0));
+        scene.take("m", 0);
+        assertEquals(0, scene.count("m"), "three of four slots are its share");
+        scene.control.onMemory(scene.nowUs, memory(1, Courier.Phase.WELL, 0));
+        scene.control.decide(scene.nowUs);
+        assertEquals(1, scene.count("m"));
+        for (int count = 0; count < 4; count++) {
+            scene.take("n" + count, 0);
+        }
+        scene.pass(500 * MS);
+        assertEquals(2, scene.sent.size());
+        scene.control.onAlone(scene.nowUs);
+        scene.control.decide(scene.nowUs);
+        scene.pass(500 * MS);
+        assertEquals(3, scene.sent.size(), "all of its share is this one's");
+    }
+
+    /** An outage that the process before saw is one for this one: trials, and a ramp after the first success. */
+    @Test
+    void anOutageThatTheProcessBeforeSawIsKnown() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings());
+        scene.control.onMemory(scene.nowUs, memory(0, Courier.Phase.OUT, 0));
+        for (int count = 0; count < 5; count++) {
+            scene.take("m" + count, 0);
+        }
+        scene.pass(20 * SECOND);
+        assertTrue(scene.sent.size() <= 1, "one trial at a time: " + scene.sent);
+    }
+
+    @Test
+    void whatIsLearntIsHandedOnAsItStands() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings());
+        scene.take("m", 0);
+        scene.end("m", Result.REFUSED, 700 * MS);
+        scene.take("n", 0);
+        final Courier.Memory memory = scene.control.memories().get(0);
+        assertEquals(DEST, memory.destination());
+        assertEquals(0, memory.callsOut());
+        assertEquals(scene.nowUs + 700 * MS, memory.waitUntilUs());
+        final Scene next = Scene.withTwoEndpoints(Scene.settings());
+        next.control.onMemory(next.nowUs, memory);
+        assertEquals(memory, next.control.memories().get(0).onClock(0));
+    }
 }
