--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -67,10 +67,8 @@
     private static final int BACKLOG = 256;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
-    /** How long a new connection may take to begin a request. */
-    private static final long BEGIN_US = 2_000_000;
-    /** How long a request may take to come in whole: some clients write for 2 s; who never ends is told within 3 s. */
-    private static final long REQUEST_US = 2_500_000;
+    /** How long a request may take to come in whole, and a new connection to begin one. */
+    private static final long REQUEST_US = 2_000_000;
     /** How long a connection is kept between requests, and how long where there are many. */
     private static final long IDLE_US = 10_000_000;
     private static final long CROWDED_IDLE_US = 2_100_000;
@@ -205,11 +203,11 @@
         final long idleUs = idleUs(nowUs);
         tellCrowd(nowUs);
         for (final Session session : List.copyOf(sessions)) {
-            if (session.wholeByUs() <= nowUs && !session.isClosing()) {
+            if (session.askedSinceUs <= nowUs - REQUEST_US && !session.isClosing()) {
                 unfinished++;
                 session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
             } else if (session.isIdle()
-                    && session.sinceUs <= nowUs - (session.hasAsked ? idleUs : BEGIN_US)) {
+                    && session.sinceUs <= nowUs - (session.hasAsked ? idleUs : REQUEST_US)) {
                 session.drop();
             }
         }
@@ -279,11 +277,6 @@
         /** When bytes last came. */
         private long cameUs;
 
-        /** Until when the request that is coming in must be whole. */
-        private long wholeByUs() {
-            return Intake.wholeByUs(hasAsked ? askedSinceUs : sinceUs, askedSinceUs);
-        }
-
         /** Since when nothing has come: who writes slowly is not taken for one that has stopped half way. */
         private long stillSinceUs() {
             return Math.max(sinceUs, cameUs);
@@ -606,14 +599,6 @@
         }
     }
 
-    /**
-     * Until when a request must be whole that began to come in at {@code askedSinceUs} (never: none does): on a new
-     * connection its time runs from the connection's beginning.
-     */
-    static long wholeByUs(final long fromUs, final long askedSinceUs) {
-        return askedSinceUs == Long.MAX_VALUE ? Long.MAX_VALUE : fromUs + REQUEST_US;
-    }
-
     /**
      * How long a message that is read now may still be delivered. Its time runs from when it was sent, and it may have
      * waited to be read for nearly as long as a client waits for an answer: without a margin its end could be told too
