--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -141,7 +141,8 @@
     private final int[] classSamples;
     private final long[] quotaUs;
     private final TreeSet<Long> wakes = new TreeSet<>();
-    private int callsOut, open;
+    /** Calls out here, calls that the process before still has out, and messages held. */
+    private int callsOut, elsewhere, open;
     private double trustUs;
     private long nowUs, nextStepUs, stopUs = NEVER;
     private boolean subscribed;
@@ -216,6 +217,7 @@
         final Destination destination = destinations.get(memory.destination());
         if (destination != null && !destination.lanes.isEmpty()) {
             final Lane lane = destination.lanes.get(0);
+            elsewhere += memory.callsOut() - lane.elsewhere;
             lane.elsewhere = memory.callsOut();
             lane.waitUntilUs = Math.max(lane.waitUntilUs, memory.waitUntilUs());
             lane.pauseUntilUs = Math.max(lane.pauseUntilUs, memory.pauseUntilUs());
@@ -250,6 +252,7 @@
     public void onAlone(final long now) {
         nowUs = now;
         destinations.values().forEach(destination -> destination.lanes.forEach(lane -> lane.elsewhere = 0));
+        elsewhere = 0;
     }
 
     @Override
@@ -340,8 +343,6 @@
 
     /** Sends, best first, until no slot is free or no message may go. */
     private void dispatch() {
-        final int elsewhere = destinations.values().stream()
-                .flatMap(destination -> destination.lanes.stream()).mapToInt(lane -> lane.elsewhere).sum();
         while (callsOut + elsewhere < settings.limits().slots()) {
             final Job best = best(true);
             if (best == null) {
