Write the courier's log as one JSON object a line, with time, process and event

Need: tests of several processes, and operators, must read what each courier did from its log; the lines were free sentences, with no time, no process name and nothing a checker can rely on.

Change: Log writes every line as JSON (t_ms, mono_us, proc, event, and msg for the sentence); a failure keeps its stack trace after its line. The one line of a refused start stays as it was.

--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -117,7 +117,7 @@
         remember(news.memories());
         journal.live().forEach(this::resume);
         if (!messages.isEmpty()) {
-            Log.info("resumed " + messages.size() + " messages");
+            Log.event("resumed", "msg", "resumed " + messages.size() + " messages", "messages", messages.size());
         }
         if (journal.hasPredecessors()) {
             Log.info("an earlier process still ends its calls");
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -59,6 +59,7 @@
         // First of all: until this is in place, a SIGHUP ends the process.
         Hangup.onSignal(this::reload);
         final Config config = Config.read(environment);
+        Log.named(config.name());
         handover = new Handover(config.state());
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
         final Orders orders = new Orders(config.state());
@@ -107,7 +108,7 @@
         }
         if (!ready && handover.standBy()) {
             ready = true;
-            Log.info(config.name() + " stands by");
+            Log.event("stands_by", "msg", config.name() + " stands by");
         }
         loop.schedule(() -> onLoop(() -> seek(config)), SEEK_MS, TimeUnit.MILLISECONDS);
     }
@@ -119,7 +120,8 @@
             if (bound.isSuccess()) {
                 ready = true;
                 handover.served();
-                Log.info(config.name() + " is ready at " + intake.address());
+                Log.event("ready", "msg", config.name() + " is ready at " + intake.address(), "listen",
+                        String.valueOf(intake.address()));
             } else {
                 giveUp("cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
             }
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -105,7 +105,7 @@
     }
 
     private static int portIn(final String line) {
-        return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+        return Integer.parseInt(line.replaceFirst(".*:(\\d+).*", "$1"));
     }
 
     Socket connectToMgmt() throws IOException {
