--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -54,6 +54,13 @@
     static final byte OWED = 4;
     static final byte OVER = 5;
     static final byte MEMORY = 6;
+    /**
+     * The first record of a file since format 2: its format. Code of format 1 skips it, as it skips every record for
+     * an id that it does not hold, so one release back reads these files.
+     */
+    static final byte HEADER = 7;
+    /** The format that this code writes, and the latest that it reads. */
+    static final int VERSION = 2;
 
     private final Path folder;
     private final long diskBytes;
@@ -150,12 +157,16 @@
         // A kill in the middle of a write leaves half a record; nothing was answered or sent on its strength.
         if (size < file.size()) {
             final long dropped = file.size() - size;
-            final String copy = reader.tail() == JournalReader.Tail.CORRUPT ? keepBad(size, dropped) : "none";
+            final String copy = reader.tail() == JournalReader.Tail.TORN ? "none" : keepBad(size, dropped);
             Log.event("journal_recovered", "file", path.getFileName().toString(), "records", reader.records(),
                     "kept_bytes", size, "dropped_bytes", dropped, "reason", reader.tail().name().toLowerCase(
                             java.util.Locale.ROOT), "copy", copy);
             file.truncate(size);
         }
+        if (size == 0) {
+            write(file, header(), 0);
+            size = file.size();
+        }
         live.putAll(reader.live());
         liveBytes = live.values().stream().mapToLong(Journal::bytes).sum();
         if (!predecessors.isEmpty()) {
@@ -363,6 +374,10 @@
         return record;
     }
 
+    private static ByteBuffer header() {
+        return record(HEADER, "", out -> out.writeInt(VERSION));
+    }
+
     /** A message with all that became of it, so that one record is enough after a compaction. */
     private static ByteBuffer taken(final Held held) {
         return record(TAKEN, held.id, out -> {
@@ -436,6 +451,7 @@
                 StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.READ, StandardOpenOption.WRITE);
         long written = 0;
         try {
+            written = copy(fresh, header(), written);
             for (final Held held : live.values()) {
                 for (final ByteBuffer record : records(held)) {
                     written = copy(fresh, record, written);
--- a/src/main/java/driftchute/node/JournalCheck.java
+++ b/src/main/java/driftchute/node/JournalCheck.java
@@ -16,8 +16,9 @@
 /**
  * Reads a courier's state folder without changing it, and says for each journal file how many records are whole and
  * checked (length and CRC32C), how many messages are still owed, and what follows: {@code whole}, {@code torn} (a
- * record cut short by a kill, which a start drops) or {@code corrupt}. One JSON object a line; exit code 0 where no
- * file is corrupt, 1 where one is, 2 for a folder that cannot be read or a bad command line.
+ * record cut short by a kill, which a start drops), {@code corrupt} or {@code future} (a later format than this
+ * code's). One JSON object a line; exit code 0 where no
+ * file is corrupt or of the future, 1 where one is, 2 for a folder that cannot be read or a bad command line.
  */
 @Command(name = "check", mixinStandardHelpOptions = true,
         description = "Checks the journal files of a courier's state folder, read only.")
@@ -39,14 +40,15 @@
             System.out.println("ERR cannot read " + folder + ": " + e.getMessage());
             return 2;
         }
-        boolean corrupt = false;
+        boolean bad = false;
         for (final Path journal : journals) {
             try (FileChannel file = FileChannel.open(journal, StandardOpenOption.READ)) {
                 final JournalReader reader = new JournalReader(file);
                 reader.read();
-                corrupt |= reader.tail() == JournalReader.Tail.CORRUPT;
-                System.out.printf(Locale.ROOT, "{\"file\":\"%s\",\"records\":%d,\"owed\":%d,\"whole_bytes\":%d,"
-                        + "\"dropped_bytes\":%d,\"verdict\":\"%s\"}%n", journal.getFileName(), reader.records(),
+                bad |= reader.tail() == JournalReader.Tail.CORRUPT || reader.tail() == JournalReader.Tail.FUTURE;
+                System.out.printf(Locale.ROOT, "{\"file\":\"%s\",\"version\":%d,\"records\":%d,\"owed\":%d,"
+                        + "\"whole_bytes\":%d,\"dropped_bytes\":%d,\"verdict\":\"%s\"}%n", journal.getFileName(), reader.version(),
+                        reader.records(),
                         reader.live().size(), reader.position(), file.size() - reader.position(),
                         reader.tail().name().toLowerCase(Locale.ROOT));
             } catch (final IOException e) {
@@ -54,7 +56,7 @@
                 return 2;
             }
         }
-        System.out.println(corrupt ? "corrupt" : "ok: " + journals.size() + " journal files");
-        return corrupt ? 1 : 0;
+        System.out.println(bad ? "not ok: a file is corrupt or of a later format" : "ok: " + journals.size() + " files");
+        return bad ? 1 : 0;
     }
 }
--- a/src/main/java/driftchute/node/JournalReader.java
+++ b/src/main/java/driftchute/node/JournalReader.java
@@ -20,7 +20,7 @@
  */
 final class JournalReader {
     /** What follows the last whole record: nothing, a record cut short at the file's end, or bytes that fail a check. */
-    enum Tail { WHOLE, TORN, CORRUPT }
+    enum Tail { WHOLE, TORN, CORRUPT, FUTURE }
 
     private static final int HEAD_BYTES = 2 * Integer.BYTES;
     private static final int MOST_RECORD_BYTES = 1 << 17;
@@ -32,6 +32,8 @@
     private long position;
     private int records;
     private Tail tail = Tail.WHOLE;
+    /** The format of the file: 1 for files before the header record, else what the header says. */
+    private int version = 1;
 
     JournalReader(final FileChannel file) {
         this.file = file;
@@ -64,6 +66,10 @@
                 break;
             }
             apply(new DataInputStream(new ByteArrayInputStream(all.array(), start, length)));
+            if (version > Journal.VERSION) {
+                tail = Tail.FUTURE;
+                break;
+            }
             records++;
             all.position(start + length);
             tail = all.hasRemaining() ? Tail.TORN : Tail.WHOLE;
@@ -80,12 +86,18 @@
     /**
      * What follows {@link #position()} at the last read: a record whose length points past the file's end is
      * {@link Tail#TORN} (a kill in the middle of its write); one whose length is impossible or whose CRC32C fails, with
-     * all its bytes there, is {@link Tail#CORRUPT}.
+     * all its bytes there, is {@link Tail#CORRUPT}; a file whose header names a later format than this code's is
+     * {@link Tail#FUTURE} from its header on.
      */
     Tail tail() {
         return tail;
     }
 
+    /** The file's format, by its header; 1 for one written before there were headers. */
+    int version() {
+        return version;
+    }
+
     /** Up to where the file is whole. */
     long position() {
         return position;
@@ -112,7 +124,9 @@
         final byte type = in.readByte();
         final String id = in.readUTF();
         final Held held = live.get(id);
-        if (type == Journal.TAKEN) {
+        if (type == Journal.HEADER) {
+            version = in.readInt();
+        } else if (type == Journal.TAKEN) {
             live.put(id, taken(id, in));
         } else if (type == Journal.OVER) {
             live.remove(id);
