--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -113,6 +113,10 @@
         }
         // A kill in the middle of a compaction leaves this; the old file is still the whole truth.
         Files.deleteIfExists(nextPath());
+        if (predecessors.isEmpty() && !Files.exists(path)) {
+            Log.event("journal_begun", "msg", "no journal in " + folder + ": nothing is owed from before (a first start,"
+                    + " or a power loss, after which the folder is empty)");
+        }
         file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         load();
     }
--- a/src/test/java/driftchute/fleet/KillRestartIT.java
+++ b/src/test/java/driftchute/fleet/KillRestartIT.java
@@ -81,6 +81,7 @@
             assertTrue(ledger.seen.stream().filter(Ledger.Seen::takenOn).count() > COURIERS * MESSAGES / 2,
                     "most messages are taken on: " + ledger.seen);
             assertEquals(1, victim.events("resumed").size(), "the restarted process says what it resumed");
+            assertEquals(1, victim.events("journal_begun").size(), "only the first start finds the folder empty");
         }
         WALL_US.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNs));
     }
