Log each whole list and each lost watch of discovery as a structured line

Change: Discovery logs "list" for the list from the configuration and for each whole list (seq, the seq before, entries, address), and "list_lost" when a watch ends (seq, address, whether it had been answered). Changes within a watch log nothing: a line per loss or whole list, none per message.

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -177,7 +177,12 @@
             final InetSocketAddress address = Config.address("dial", node.path("dial").asText());
             host.endpoints().listed(entry, apart, address);
         }
+        final long before = seq;
         seq = list.path("seq").asLong(seq);
+        if (update != Courier.Update.CHANGES) {
+            Log.event("list", "update", update.name().toLowerCase(java.util.Locale.ROOT), "seq", seq, "after", before,
+                    "entries", changed.size(), "from", String.valueOf(address));
+        }
         host.list(update, changed);
         gone.forEach(this::forget);
         final long nowUs = clock.nowUs();
@@ -311,6 +316,7 @@
 
         private void lost() {
             if (watch == this) {
+                Log.event("list_lost", "seq", seq, "from", String.valueOf(address), "answered", answered);
                 watch = null;
                 host.list(Courier.Update.LOST, List.of());
             }
