--- a/src/main/java/driftchute/drill/TcpRelay.java
+++ b/src/main/java/driftchute/drill/TcpRelay.java
@@ -45,7 +45,10 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    /** From now on; {@link Fault.Kind#RESET} and {@link Fault.Kind#HALFCLOSE} also strike the open connections. */
+    /**
+     * From now on, for what passes next on every connection; {@link Fault.Kind#RESET} also resets the open
+     * connections at once.
+     */
     public void set(final Fault next) {
         fault = next;
         if (next.kind() == Fault.Kind.RESET) {
