--- /dev/null
+++ b/src/main/java/driftchute/drill/UdpRelay.java
@@ -0,0 +1,127 @@
+package driftchute.drill;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A UDP relay on loopback in front of one receiver: datagrams sent to it reach {@code to} from the relay's address, or
+ * are lost, duplicated, reordered or delayed by its {@link Fault}; senders in the cut-off set reach nothing (a
+ * partition). Datagrams of up to 256 bytes, as PROTOCOL-irishead.md, section Between couriers, allows; longer ones are
+ * carried as they are, for the receiver to judge.
+ */
+public final class UdpRelay implements AutoCloseable {
+    private static final int MOST = 65_535;
+    private final DatagramSocket socket;
+    private final InetSocketAddress to;
+    private final Random random;
+    private final Set<SocketAddress> cut = ConcurrentHashMap.newKeySet();
+    private final ScheduledExecutorService later = Executors.newSingleThreadScheduledExecutor(work -> {
+        final Thread thread = new Thread(work, "relay-later");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private volatile Fault fault = Fault.PASS;
+    /** The datagram held back to be sent after the next one, where reordering struck. */
+    private DatagramPacket held;
+
+    /**
+     * Listens on a loopback port of the system's choice.
+     *
+     * @throws IOException where it cannot
+     */
+    public UdpRelay(final InetSocketAddress to, final long seed) throws IOException {
+        this.to = to;
+        this.random = new Random(seed);
+        this.socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        TcpRelay.daemon("udp", this::carry);
+    }
+
+    /** The relay's port on loopback. */
+    public int port() {
+        return socket.getLocalPort();
+    }
+
+    public void set(final Fault next) {
+        fault = next;
+    }
+
+    /** Datagrams from these senders are dropped until {@link #heal()}. */
+    public void partition(final Set<? extends SocketAddress> senders) {
+        cut.addAll(senders);
+    }
+
+    public void heal() {
+        cut.clear();
+    }
+
+    private void carry() {
+        while (!socket.isClosed()) {
+            final DatagramPacket in = new DatagramPacket(new byte[MOST], MOST);
+            try {
+                socket.receive(in);
+            } catch (final IOException e) {
+                return;
+            }
+            if (!cut.contains(in.getSocketAddress())) {
+                pass(new DatagramPacket(in.getData(), in.getLength(), to));
+            }
+        }
+    }
+
+    private void pass(final DatagramPacket out) {
+        final Fault now = fault;
+        final boolean strikes = random.nextDouble() < now.fraction();
+        switch (now.kind()) {
+            case LOSS, DROP, BLACKHOLE -> {
+                if (strikes || now.kind() == Fault.Kind.BLACKHOLE) {
+                    return;
+                }
+            }
+            case DUPLICATE -> {
+                if (strikes) {
+                    send(out);
+                }
+            }
+            case REORDER -> {
+                if (strikes && held == null) {
+                    held = out;
+                    return;
+                }
+            }
+            case DELAY -> {
+                later.schedule(() -> send(out), now.delayMs(), TimeUnit.MILLISECONDS);
+                return;
+            }
+            default -> { }
+        }
+        send(out);
+        if (held != null) {
+            send(held);
+            held = null;
+        }
+    }
+
+    private void send(final DatagramPacket out) {
+        try {
+            socket.send(out);
+        } catch (final IOException e) {
+            // A datagram may be lost: that is its nature.
+        }
+    }
+
+    @Override
+    public void close() {
+        socket.close();
+        later.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/fleet/Checker.java
@@ -0,0 +1,52 @@
+package driftchute.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Judges a fleet's run by the rules of PROTOCOL-irishead.md, section The rules on sockets: every request answered
+ * (unless its courier was killed while it waited), every message taken on delivered or ended by a notice, and none that
+ * may not run twice called twice.
+ */
+final class Checker {
+    /** A process from its SIGKILL to when it was seen gone ({@link System#nanoTime()}). */
+    record Death(long signalNs, long goneNs) { }
+
+    private Checker() { }
+
+    /** The messages taken on that are not yet over. */
+    static List<String> owed(final Fleet fleet, final Ledger ledger) {
+        final List<String> owed = new ArrayList<>();
+        for (final Ledger.Seen seen : ledger.seen) {
+            if (seen.takenOn() && !fleet.calls.containsKey(seen.id()) && !fleet.noticed(seen.id())) {
+                owed.add(seen.id());
+            }
+        }
+        return owed;
+    }
+
+    /**
+     * What broke the rules, a line each; empty where nothing did.
+     *
+     * @param kills when each courier was killed, by name: a request that met its death may end unanswered
+     */
+    static List<String> violations(final Fleet fleet, final Ledger ledger, final Map<String, List<Death>> kills) {
+        final List<String> broken = new ArrayList<>();
+        for (final Ledger.Seen seen : ledger.seen) {
+            if (seen.status() == 0 && !killedDuring(kills.getOrDefault(seen.courier(), List.of()), seen)) {
+                broken.add("unanswered: " + seen);
+            }
+            if (seen.kind().equals("once") && fleet.calls.containsKey(seen.id())
+                    && fleet.calls.get(seen.id()).get() > 1) {
+                broken.add("called " + fleet.calls.get(seen.id()) + " times, may run once: " + seen.id());
+            }
+        }
+        owed(fleet, ledger).forEach(id -> broken.add("lost: " + id));
+        return broken;
+    }
+
+    private static boolean killedDuring(final List<Death> kills, final Ledger.Seen seen) {
+        return kills.stream().anyMatch(death -> death.signalNs() <= seen.endNs() && seen.sentNs() <= death.goneNs());
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/fleet/CourierProcess.java
@@ -0,0 +1,140 @@
+package driftchute.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One courier as its deploy file runs it ({@code run} of deploy/balancer.toml, without {@code exec}), with a folder of
+ * its own for state, temporary files and configuration, and one listening port kept across its restarts.
+ */
+final class CourierProcess implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Pattern RUN = Pattern.compile("^run\\s*=\\s*\"(.*)\"\\s*$", Pattern.MULTILINE);
+    final String name;
+    final int port;
+    /** What every process of it wrote, a line each, in order. */
+    final List<String> log = new CopyOnWriteArrayList<>();
+    private final Path folder;
+    private final String config;
+    private Process process;
+
+    CourierProcess(final String name, final Path folder, final String config) throws IOException {
+        this.name = name;
+        this.folder = Files.createDirectories(folder);
+        this.port = freePort();
+        this.config = config.replace("$LISTEN", "127.0.0.1:" + port).replace("$NAME", name);
+        Files.createDirectories(folder.resolve("tmp"));
+    }
+
+    /** A port that nothing listens on now; the courier keeps it across restarts, as a real one keeps its address. */
+    static int freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return probe.getLocalPort();
+        }
+    }
+
+    /** The run line of the deploy file, split into words. */
+    static List<String> runLine() throws IOException {
+        final Matcher run = RUN.matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        assertTrue(run.find(), "deploy/balancer.toml names no run line");
+        final List<String> words = new ArrayList<>(List.of(run.group(1).trim().split("\\s+")));
+        if (words.get(0).equals("exec")) {
+            words.remove(0);
+        }
+        return words;
+    }
+
+    /** Starts a process on the folder; its lines are read as they come. */
+    void start(final String discovery) throws IOException {
+        final Path file = folder.resolve("config.json");
+        Files.writeString(file, config.replace("$DISCOVERY", discovery));
+        final ProcessBuilder builder = new ProcessBuilder(runLine()).redirectErrorStream(true);
+        final Map<String, String> environment = builder.environment();
+        environment.put("PROXY_CONFIG", file.toString());
+        environment.put("PROXY_DISCOVERY", discovery);
+        environment.put("PROXY_STATE", folder.resolve("state").toString());
+        environment.put("TMPDIR", folder.resolve("tmp").toString());
+        process = builder.start();
+        final BufferedReader out = new BufferedReader(
+                new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        final Thread reader = new Thread(() -> out.lines().forEach(log::add), name + "-log");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** {@code GET /up} answers 200. */
+    boolean isUp() {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(2));
+            socket.getOutputStream().write("GET /up HTTP/1.1\r\nHost: backend.local\r\n\r\n"
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            return driftchute.node.FakeServer.line(socket.getInputStream()).startsWith("HTTP/1.1 200");
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Sends a signal by name ({@code KILL}, {@code TERM}, {@code STOP}, {@code CONT}, {@code HUP}) to the pid. */
+    void signal(final String signal) throws IOException, InterruptedException {
+        final Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start();
+        assertTrue(kill.waitFor(Fleet.PATIENCE_S, TimeUnit.SECONDS) && kill.exitValue() == 0, "kill -" + signal);
+    }
+
+    /** SIGKILL, and waits until the process is gone. */
+    void kill() throws IOException, InterruptedException {
+        signal("KILL");
+        assertTrue(process.waitFor(Fleet.PATIENCE_S, TimeUnit.SECONDS), name + " outlived SIGKILL");
+    }
+
+    /** The structured lines it logged with that event. */
+    List<JsonNode> events(final String event) {
+        final List<JsonNode> found = new ArrayList<>();
+        for (final String line : log) {
+            if (line.startsWith("{")) {
+                try {
+                    final JsonNode node = JSON.readTree(line);
+                    if (event.equals(node.path("event").asText())) {
+                        found.add(node);
+                    }
+                } catch (final IOException e) {
+                    // A line of another kind: a stack trace or the one line of a refused start.
+                }
+            }
+        }
+        return found;
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.toHandle().destroyForcibly();
+            process.toHandle().onExit().orTimeout(Fleet.PATIENCE_S, TimeUnit.SECONDS).join();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/fleet/Fleet.java
@@ -0,0 +1,143 @@
+package driftchute.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import driftchute.drill.TcpRelay;
+import driftchute.node.FakeServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Several real couriers on loopback, between stand-ins of the platform (discovery and notices, PROTOCOL-irishead.md)
+ * and of their endpoints, each endpoint behind a {@link TcpRelay} that a test switches to faults.
+ */
+final class Fleet implements AutoCloseable {
+    static final long PATIENCE_S = 30;
+    static final int BLOCK = 7;
+    /** The settings of a small tier: one pure class and one that may not run twice, one message a call. */
+    private static final String CONFIG = """
+            {"name":"$NAME","listen":"$LISTEN","discovery":"$DISCOVERY","seed":"%s",
+             "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},
+             "known":{"seq":1,"whole":true,"hosts":[%s]},
+             "settings":{"balancers":%d,"my_zone":"a","discovery":"watch","weights":"nominal",
+              "classes":[{"name":"safe","effect":"pure","target":2000000,"deadline":8000000,"points":1.0},
+                         {"name":"once","effect":"side_effect","target":2000000,"deadline":8000000}],
+              "flavors":["std"],"extra":{"calls_out":12,"per_call":[1],"routes_apart":[false]},
+              "guarantees":{"must_ask_in":10000000,"cold_from":0.5,"cold":1000000,"tip_multiple":2.0},
+              "limits":{"max_open":50,"most_tries":8,"cancel":true,"idle_close":10000000,"retry_after":true,
+               "connect_timeout":1000000,"max_retry_after":2000000}}}""";
+
+    final FakeServer platform = new FakeServer(this::platform);
+    /** The couriers reach the platform through this. */
+    final TcpRelay platformRelay = relay(platform, 0);
+    final List<FakeServer> endpoints = new ArrayList<>();
+    final List<TcpRelay> relays = new ArrayList<>();
+    final List<CourierProcess> couriers = new ArrayList<>();
+    /** Notices to the platform, a line each. */
+    final List<String> notices = new CopyOnWriteArrayList<>();
+    /** Calls that endpoints answered 200 (all that came whole), by message id. */
+    final Map<String, AtomicInteger> calls = new ConcurrentHashMap<>();
+    private final String hosts;
+
+    /**
+     * Starts the stand-ins and writes each courier's folder; {@link #startAll} starts the couriers.
+     *
+     * @throws IOException where a stand-in cannot listen
+     */
+    Fleet(final Path folder, final int couriers, final int endpointCount, final long seed) throws IOException {
+        final List<String> listed = new ArrayList<>();
+        for (int i = 0; i < endpointCount; i++) {
+            final FakeServer endpoint = new FakeServer(this::endpoint);
+            final TcpRelay relay = relay(endpoint, seed + i + 1);
+            endpoints.add(endpoint);
+            relays.add(relay);
+            listed.add("{\"host\":\"e" + i + "\",\"dial\":\"" + relay.address() + "\",\"site\":\"a\",\"class\":\"std\","
+                    + "\"block\":" + BLOCK + ",\"health\":\"Ready\",\"share\":1.0,\"born_ms\":0}");
+        }
+        hosts = String.join(",", listed);
+        for (int i = 0; i < couriers; i++) {
+            this.couriers.add(new CourierProcess("c" + i, folder.resolve("c" + i),
+                    CONFIG.formatted(Long.toHexString(seed * 31 + i), hosts, couriers)));
+        }
+    }
+
+    private static TcpRelay relay(final FakeServer to, final long seed) throws IOException {
+        final String[] at = to.address().split(":");
+        return new TcpRelay(new InetSocketAddress(at[0], Integer.parseInt(at[1])), seed);
+    }
+
+    /** Where the couriers find the platform. */
+    String discovery() {
+        return platformRelay.address();
+    }
+
+    private void platform(final FakeServer.Request request, final FakeServer.Connection connection) {
+        if (request.line().startsWith("POST")) {
+            notices.addAll(request.text().lines().toList());
+            connection.answer(204, "");
+        } else if (!request.line().contains("watch=1")) {
+            connection.answer(200, "{\"seq\":2,\"whole\":true,\"hosts\":[" + hosts + "]}\n");
+        } else {
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            connection.chunk("{\"seq\":2,\"whole\":true,\"hosts\":[" + hosts + "]}\n");
+        }
+    }
+
+    private void endpoint(final FakeServer.Request request, final FakeServer.Connection connection) {
+        final String id = request.header("X-Request-ID");
+        if (id == null) {
+            connection.answer(400, "");
+            return;
+        }
+        calls.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+        connection.answer(200, "");
+    }
+
+    /** Starts every courier and waits until each answers {@code GET /up} with 200. */
+    void startAll() throws IOException {
+        for (final CourierProcess courier : couriers) {
+            courier.start(discovery());
+        }
+        for (final CourierProcess courier : couriers) {
+            await(courier.name + " up", courier::isUp);
+        }
+    }
+
+    /** The platform heard of that message. */
+    boolean noticed(final String id) {
+        final String quoted = "\"" + id + "\"";
+        return notices.stream().anyMatch(line -> line.contains(quoted));
+    }
+
+    /** Waits for a condition that must come, under a bound that only a failure reaches. */
+    static void await(final String what, final BooleanSupplier condition) {
+        final long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < untilNs, "never came: " + what);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        couriers.forEach(CourierProcess::close);
+        for (final TcpRelay relay : relays) {
+            relay.close();
+        }
+        for (final FakeServer endpoint : endpoints) {
+            endpoint.close();
+        }
+        platformRelay.close();
+        platform.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/fleet/Ledger.java
@@ -0,0 +1,50 @@
+package driftchute.fleet;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** What clients saw: each request handed in, to which courier, and how it ended. */
+final class Ledger {
+    /** The client's view of one request; {@code status} 0 where the connection ended with no answer. */
+    record Seen(String id, String kind, String courier, int status, long sentNs, long endNs) {
+        boolean takenOn() {
+            return status == 200 || status == 202;
+        }
+    }
+
+    final List<Seen> seen = new CopyOnWriteArrayList<>();
+
+    /**
+     * Hands one message in, on a connection of its own, as PROTOCOL-irishead.md, section Clients to couriers, says.
+     * A courier that refuses the connection is recorded as such (status -1): nothing was sent.
+     */
+    Seen handIn(final CourierProcess courier, final String id, final String kind) {
+        final long sentNs = System.nanoTime();
+        int status;
+        try (Socket socket = new Socket("127.0.0.1", courier.port)) {
+            socket.setSoTimeout((int) java.util.concurrent.TimeUnit.SECONDS.toMillis(Fleet.PATIENCE_S));
+            final String body = "body of " + id;
+            socket.getOutputStream().write(("POST /" + kind + " HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: " + id
+                    + "\r\nX-Priority-Class: " + kind + "\r\nX-Timeout-Ms: 6000\r\nX-Consignee: dest=" + Fleet.BLOCK
+                    + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1));
+            status = statusOf(socket.getInputStream());
+        } catch (final java.net.ConnectException e) {
+            status = -1;
+        } catch (final IOException e) {
+            status = 0;
+        }
+        final Seen one = new Seen(id, kind, courier.name, status, sentNs, System.nanoTime());
+        seen.add(one);
+        return one;
+    }
+
+    private static int statusOf(final InputStream in) throws IOException {
+        final String line = driftchute.node.FakeServer.line(in);
+        final String[] words = line.split(" ");
+        return words.length > 1 && line.startsWith("HTTP/1.1") ? Integer.parseInt(words[1]) : 0;
+    }
+}
