--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -32,6 +32,9 @@
 final class Journal implements AutoCloseable {
     private static final String FILE = "journal";
     private static final String NEXT = ".next";
+    private static final String BAD = ".bad";
+    /** Disk is counted in whole blocks of this many bytes (DEPLOY-irishead.md). */
+    private static final long BLOCK = 512;
     private static final int HEAD_BYTES = 2 * Integer.BYTES;
     /** Names that are looked through: an upgrade needs two, and one that follows at once a third. */
     private static final int MOST_FILES = 8;
@@ -107,6 +110,35 @@
         load();
     }
 
+    /**
+     * Keeps what follows a record that failed its check in {@code journal.bad}, for an operator to look at, as far as
+     * the folder's bound leaves room beside a compaction's file; the result names the copy, or why there is none.
+     */
+    private String keepBad(final long from, final long dropped) {
+        try {
+            long used = 0;
+            try (var files = Files.list(folder)) {
+                for (final Path one : (Iterable<Path>) files::iterator) {
+                    used += (Files.size(one) + BLOCK - 1) / BLOCK * BLOCK;
+                }
+            }
+            final long room = (diskBytes - used - fileBytes) / BLOCK * BLOCK;
+            final long bytes = Math.min(dropped, room);
+            if (bytes <= 0) {
+                return "none: no room within disk_mb";
+            }
+            final ByteBuffer bad = ByteBuffer.allocate((int) bytes);
+            while (bad.hasRemaining() && file.read(bad, from + bad.position()) >= 0) {
+                continue;
+            }
+            bad.flip();
+            Files.write(folder.resolve(FILE + BAD), java.util.Arrays.copyOf(bad.array(), bad.limit()));
+            return FILE + BAD + (bytes < dropped ? " (first " + bytes + " bytes)" : "");
+        } catch (final IOException e) {
+            return "none: " + e.getMessage();
+        }
+    }
+
     private Path nextPath() {
         return path.resolveSibling(path.getFileName() + NEXT);
     }
@@ -117,7 +149,11 @@
         size = reader.position();
         // A kill in the middle of a write leaves half a record; nothing was answered or sent on its strength.
         if (size < file.size()) {
-            Log.info("journal: cut " + (file.size() - size) + " bytes of a torn tail at " + size);
+            final long dropped = file.size() - size;
+            final String copy = reader.tail() == JournalReader.Tail.CORRUPT ? keepBad(size, dropped) : "none";
+            Log.event("journal_recovered", "file", path.getFileName().toString(), "records", reader.records(),
+                    "kept_bytes", size, "dropped_bytes", dropped, "reason", reader.tail().name().toLowerCase(
+                            java.util.Locale.ROOT), "copy", copy);
             file.truncate(size);
         }
         live.putAll(reader.live());
--- /dev/null
+++ b/src/main/java/driftchute/node/JournalCheck.java
@@ -0,0 +1,60 @@
+package driftchute.node;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+/**
+ * Reads a courier's state folder without changing it, and says for each journal file how many records are whole and
+ * checked (length and CRC32C), how many messages are still owed, and what follows: {@code whole}, {@code torn} (a
+ * record cut short by a kill, which a start drops) or {@code corrupt}. One JSON object a line; exit code 0 where no
+ * file is corrupt, 1 where one is, 2 for a folder that cannot be read or a bad command line.
+ */
+@Command(name = "check", mixinStandardHelpOptions = true,
+        description = "Checks the journal files of a courier's state folder, read only.")
+public final class JournalCheck implements Callable<Integer> {
+    @Parameters(paramLabel = "FOLDER", description = "the courier's PROXY_STATE")
+    private Path folder;
+
+    public static void main(final String[] args) {
+        System.exit(new CommandLine(new JournalCheck()).execute(args));
+    }
+
+    @Override
+    public Integer call() {
+        final List<Path> journals;
+        try (Stream<Path> files = Files.list(folder)) {
+            journals = files.filter(file -> file.getFileName().toString().matches("journal(\\.\\d+)?(\\.next)?"))
+                    .sorted().toList();
+        } catch (final IOException e) {
+            System.out.println("ERR cannot read " + folder + ": " + e.getMessage());
+            return 2;
+        }
+        boolean corrupt = false;
+        for (final Path journal : journals) {
+            try (FileChannel file = FileChannel.open(journal, StandardOpenOption.READ)) {
+                final JournalReader reader = new JournalReader(file);
+                reader.read();
+                corrupt |= reader.tail() == JournalReader.Tail.CORRUPT;
+                System.out.printf(Locale.ROOT, "{\"file\":\"%s\",\"records\":%d,\"owed\":%d,\"whole_bytes\":%d,"
+                        + "\"dropped_bytes\":%d,\"verdict\":\"%s\"}%n", journal.getFileName(), reader.records(),
+                        reader.live().size(), reader.position(), file.size() - reader.position(),
+                        reader.tail().name().toLowerCase(Locale.ROOT));
+            } catch (final IOException e) {
+                System.out.println("ERR cannot read " + journal + ": " + e.getMessage());
+                return 2;
+            }
+        }
+        System.out.println(corrupt ? "corrupt" : "ok: " + journals.size() + " journal files");
+        return corrupt ? 1 : 0;
+    }
+}
--- a/src/main/java/driftchute/node/JournalReader.java
+++ b/src/main/java/driftchute/node/JournalReader.java
@@ -19,6 +19,9 @@
  * process may still be writing.
  */
 final class JournalReader {
+    /** What follows the last whole record: nothing, a record cut short at the file's end, or bytes that fail a check. */
+    enum Tail { WHOLE, TORN, CORRUPT }
+
     private static final int HEAD_BYTES = 2 * Integer.BYTES;
     private static final int MOST_RECORD_BYTES = 1 << 17;
 
@@ -27,6 +30,8 @@
     private final Set<String> ended = new HashSet<>();
     private final List<Courier.Memory> memories = new ArrayList<>();
     private long position;
+    private int records;
+    private Tail tail = Tail.WHOLE;
 
     JournalReader(final FileChannel file) {
         this.file = file;
@@ -40,24 +45,47 @@
             continue;
         }
         all.flip();
+        tail = all.hasRemaining() ? Tail.TORN : Tail.WHOLE;
         while (all.remaining() >= HEAD_BYTES) {
             final int length = all.getInt(all.position());
             final int start = all.position() + HEAD_BYTES;
-            if (length <= 0 || length > MOST_RECORD_BYTES || length > all.limit() - start) {
+            if (length <= 0 || length > MOST_RECORD_BYTES) {
+                tail = Tail.CORRUPT;
+                break;
+            }
+            if (length > all.limit() - start) {
+                tail = Tail.TORN;
                 break;
             }
             final CRC32C crc = new CRC32C();
             crc.update(all.array(), start, length);
             if ((int) crc.getValue() != all.getInt(all.position() + Integer.BYTES)) {
+                tail = Tail.CORRUPT;
                 break;
             }
             apply(new DataInputStream(new ByteArrayInputStream(all.array(), start, length)));
+            records++;
             all.position(start + length);
+            tail = all.hasRemaining() ? Tail.TORN : Tail.WHOLE;
         }
         position += all.position();
         return position > fromPosition;
     }
 
+    /** How many whole, checked records were read. */
+    int records() {
+        return records;
+    }
+
+    /**
+     * What follows {@link #position()} at the last read: a record whose length points past the file's end is
+     * {@link Tail#TORN} (a kill in the middle of its write); one whose length is impossible or whose CRC32C fails, with
+     * all its bytes there, is {@link Tail#CORRUPT}.
+     */
+    Tail tail() {
+        return tail;
+    }
+
     /** Up to where the file is whole. */
     long position() {
         return position;
