Keep a wait taken over for a destination that the list does not name at that moment

Cause: what the old process of an upgrade knew of a destination was dropped where the new one's list had no endpoint of it (a list that is late, or an endpoint that is replaced), and a lane that was handed on with a wait but not yet used was forgotten at the next step when its endpoint left the list. The memory is now told again as soon as an endpoint is named, and a lane is not forgotten while its wait lasts. HandoverWaitTest.aWaitIsKeptForADestinationThatIsNotListedYet fails without the change.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -1011,7 +1011,8 @@
                 && node.lane.lastSendUs < beforeUs && node.lane.nodes.remove(node));
         destinations.values().removeIf(destination -> {
             if (destination.jobs == 0) {
-                destination.lanes.removeIf(lane -> lane.nodes.isEmpty() && lane.lastSendUs < beforeUs);
+                destination.lanes.removeIf(lane -> lane.nodes.isEmpty() && lane.lastSendUs < beforeUs
+                        && lane.waitUntilUs < nowUs);
             }
             return destination.jobs == 0 && destination.lanes.isEmpty();
         });
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -112,6 +112,11 @@
         return names.stream().map(ids::get).filter(Objects::nonNull).collect(Collectors.toSet());
     }
 
+    /** True if the list names an endpoint of that destination now. */
+    boolean hasEndpoint(final long destination) {
+        return entries.values().stream().anyMatch(entry -> entry.destination() == destination);
+    }
+
     String zone(final long endpoint) {
         final Courier.Endpoint entry = entries.get(endpoint);
         return entry == null ? "" : entry.zone();
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -91,6 +91,8 @@
     /** Another process decides and sends now; this one ends the calls that are out. */
     private boolean leaving;
     private ScheduledFuture<?> following;
+    /** What earlier processes learnt of destinations that the list does not name yet. */
+    private final Map<Long, Courier.Memory> untold = new HashMap<>();
     /** The end of the latest wait of each destination that was taken over from them. */
     private final Map<Long, Long> waitsTakenUs = new HashMap<>();
     /** Until when the earlier process counts as heard. */
@@ -174,6 +176,9 @@
 
     private void remember(final Courier.Memory memory) {
         final long destination = memory.destination();
+        if (!discovery.hasEndpoint(destination)) {
+            untold.put(destination, memory);
+        }
         control.onMemory(clock.nowUs(), memory);
         final long leftUs = memory.waitUntilUs() - clock.nowUs();
         if (leftUs > 0) {
@@ -317,6 +322,13 @@
     /** The list has changed, or could not be had. */
     void list(final Courier.Update update, final List<Courier.Endpoint> entries) {
         control.onList(clock.nowUs(), update, entries);
+        untold.values().removeIf(memory -> {
+            final boolean named = discovery.hasEndpoint(memory.destination());
+            if (named) {
+                control.onMemory(clock.nowUs(), memory.withCallsOut(journal.callsOutElsewhere(memory.destination())));
+            }
+            return named;
+        });
         heeded = null;
         heed();
         touch();
--- a/src/test/java/driftchute/node/HandoverWaitTest.java
+++ b/src/test/java/driftchute/node/HandoverWaitTest.java
@@ -199,4 +199,18 @@
             return rig.first.requests.size() == 1;
         });
     }
+
+    /** A wait for a destination that the list does not name yet is kept until it does. */
+    @Test
+    void aWaitIsKeptForADestinationThatIsNotListedYet() throws Exception {
+        rig.hosts = "";
+        assertTrue(old.take(held("m")));
+        old.leave(List.of(memory(0, clock.wallUs() + WAIT_US)));
+        takeOver(() -> { });
+        rig.await("the watch", () -> !rig.watches.isEmpty());
+        rig.change(43, Rig.host("e1", rig.first, "Ready"));
+        rig.await("the list", () -> host.hasListed("e1"));
+        onLoop(() -> null);
+        assertTrue(has("m") && own("m").attempts() == 0, "the pass after the list is over and it has not gone");
+    }
 }
