End what is still out before an upgrade's old process ends

The calls are now ended first, on the loop, as ones that may have run; the new process has their messages and knows that none is out without waiting for the process to be gone. HandoverWaitTest.whatIsStillOutWhenTheProcessEndsIsCutOffAndSaid covers it.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -350,6 +350,11 @@
         return !calls.isEmpty();
     }
 
+    /** Ends every call: one that is written may have run. */
+    void abandonAll() {
+        List.copyOf(calls).forEach(call -> abandon(call, Result.CANCELLED));
+    }
+
     /** Ends every call that is not written: none of it has run, and its messages are free to go again. */
     void giveBackUnwritten() {
         abandonUnwritten(call -> true);
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -580,6 +580,14 @@
                 .forEach(journal::remember);
     }
 
+    /**
+     * The process ends now. Its connections would stay open, and their answers unread, for as long as that takes; so the
+     * calls that are left end first, as ones that may have run, and the next process has them and knows that none is out.
+     */
+    void cutOff() {
+        endpoints.abandonAll();
+    }
+
     private List<Courier.Memory> memories() {
         final long aheadUs = clock.wallUs() - clock.nowUs();
         return control.memories().stream().map(memory -> memory.onClock(aheadUs)).toList();
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -196,7 +196,7 @@
         host.stopping(stopUs);
         loop.schedule(() -> {
             intake.stopListening();
-            stopWhen(stopUs, host::idle);
+            stopWhen(stopUs, host::idle, () -> { });
         }, LISTEN_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -208,7 +208,7 @@
         host.leave();
         handover.letGo();
         loop.execute(() -> stopListening(fromUs + LEAVE_LISTEN_MS * US_PER_MS));
-        stopWhen(fromUs + STOP_MS * US_PER_MS, () -> host.idle() && intake.isEmpty());
+        stopWhen(fromUs + STOP_MS * US_PER_MS, () -> host.idle() && intake.isEmpty(), host::cutOff);
     }
 
     /** Listens until the next process does, or does not come. */
@@ -230,9 +230,10 @@
         }
     }
 
-    private void stopWhen(final long stopUs, final BooleanSupplier done) {
+    private void stopWhen(final long stopUs, final BooleanSupplier done, final Runnable last) {
         loop.scheduleWithFixedDelay(() -> {
             if (done.getAsBoolean() || clock.nowUs() >= stopUs) {
+                last.run();
                 stopped.countDown();
             }
         }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/driftchute/node/HandoverWaitTest.java
+++ b/src/test/java/driftchute/node/HandoverWaitTest.java
@@ -213,4 +213,23 @@
         onLoop(() -> null);
         assertTrue(has("m") && own("m").attempts() == 0, "the pass after the list is over and it has not gone");
     }
+
+    /** The end of a process takes a while; no answer may come to it that nobody reads. */
+    @Test
+    void whatIsStillOutWhenTheProcessEndsIsCutOffAndSaid() throws Exception {
+        rig.first.script((request, connection) -> { });
+        assertTrue(old.take(held("m")));
+        old.leave(List.of());
+        takeOver(() -> { });
+        rig.await("the call", () -> rig.first.requests.size() == 1);
+        onLoop(() -> {
+            host.leave();
+            assertTrue(own.live().iterator().next().isOut());
+            host.cutOff();
+            return null;
+        });
+        assertFalse(isOut("m"));
+        assertTrue(own("m").firstRunWallUs() != Held.NEVER, "it may have run");
+        rig.await("the end of its connection", () -> rig.first.requests.get(0).connection().ended);
+    }
 }
