Heed a wait whose answer is cut off behind its head

Cause: a 429 whose head came whole and whose body did not (a reset, a time-out, the end of an upgrade's old process) counted as a broken call, and the wait in its head was thrown away. It now binds, and holds back what is not written.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -315,8 +315,10 @@
             tell(call, call.reader.delivered());
             return;
         }
+        final long waitUs = call.reader == null ? 0 : call.reader.waitOf(call);
+        told(call, waitUs);
         final Result sure = call.written || result == Result.NOT_SENT ? result : neverWritten(result);
-        tell(call, new Answer(sure, false, 0, null));
+        tell(call, new Answer(sure, false, waitUs, null));
     }
 
     /** What gave up a call that was never written whole cannot have run. */
@@ -340,7 +342,14 @@
         abandonUnwritten(call -> !call.pool.apart && call.pool.destination == destination);
     }
 
-    /** A wait was told: what is on its way to that destination, and not written yet, may not go. */
+    /** A call's answer told a wait, if above 0: what is on its way there, and not written yet, may not go. */
+    private void told(final Call call, final long waitUs) {
+        if (waitUs > 0) {
+            host.waitTold(call.pool.destination, String.valueOf(call.pool.address), waitUs);
+            holdBack(call.pool);
+        }
+    }
+
     private void holdBack(final Pool told) {
         abandonUnwritten(call -> told.apart ? call.pool == told : call.pool.destination == told.destination);
     }
@@ -478,6 +487,11 @@
                     && line.protocolVersion().majorVersion() == 1;
         }
 
+        /** The wait in a call's answer, if its head has come whole: it binds whatever becomes of the rest. */
+        private long waitOf(final Call of) {
+            return of == call && head != null ? waitUs(head) : 0;
+        }
+
         /** What a delivery tells whose answer was cut off: waits and reports only if its head came whole. */
         private Answer delivered() {
             return head == null ? new Answer(Result.DELIVERED, true, 0, null) : answer(head, waitUs(head));
@@ -505,10 +519,7 @@
                 context.close();
             }
             final long waitUs = waitUs(head);
-            if (waitUs > 0) {
-                host.waitTold(done.pool.destination, String.valueOf(done.pool.address), waitUs);
-                holdBack(done.pool);
-            }
+            told(done, waitUs);
             final Answer all = answer(head, waitUs);
             if (done.parcels.size() > 1 && head.status().code() == OK) {
                 tellEach(done, all);
@@ -527,18 +538,16 @@
             context.close();
             final Call cut = call;
             final boolean delivered = cut != null && isDelivered(cut);
+            final long waitUs = cut == null ? 0 : waitOf(cut);
             call = null;
             if (cut == null || !remove(cut)) {
                 return;
             }
+            told(cut, waitUs);
             if (delivered) {
-                final Answer answer = delivered();
-                if (answer.waitUs() > 0) {
-                    holdBack(cut.pool);
-                }
-                tell(cut, answer);
+                tell(cut, delivered());
             } else {
-                tell(cut, new Answer(cut.written ? spoilt : Result.NO_CONNECTION, false, 0, null));
+                tell(cut, new Answer(cut.written ? spoilt : Result.NO_CONNECTION, false, waitUs, null));
             }
         }
 
--- a/src/test/java/driftchute/node/SpoiltAnswerTest.java
+++ b/src/test/java/driftchute/node/SpoiltAnswerTest.java
@@ -129,4 +129,20 @@
         assertEquals(202, rig.handIn("m1", "safe").status());
         rig.await("the third attempt", () -> rig.first.requests.size() == 3);
     }
+
+    /** The head has come whole and says how long to wait; that the rest is cut off does not unsay it. */
+    @Test
+    void aWaitBindsThoughItsAnswerIsCutOffBehindTheHead() throws IOException {
+        rig.first.script((request, connection) -> {
+            connection.write("HTTP/1.1 429 X\r\nRetry-After: 3600\r\nContent-Length: 5\r\n\r\nab");
+            connection.reset();
+        });
+        rig.start();
+        assertEquals(202, rig.handIn("m1", "safe").status());
+        rig.await("its call to be cut off", () -> !rig.first.requests.isEmpty()
+                && rig.first.requests.get(0).connection().ended);
+        assertEquals(202, rig.send(Rig.message("brief", "safe").replace("X-Timeout-Ms: 20000", "X-Timeout-Ms: 2500")).status());
+        rig.await("its end without a call", () -> rig.noticed("brief", "deferred"));
+        assertEquals(1, rig.first.requests.size());
+    }
 }
