Fleet test: a wait told to the old process of an upgrade, heard, unheard and killed

Two processes of the run line, an endpoint that answers the old one's last call with 429 and ten minutes: the new one must not send, also after a ban by hand, and also where the old one is stopped before it has read the answer; where it is killed unread, the new one goes on and nothing is lost. A process that was itself stopped is given one more turn of its loop before it ends, so that what came is read.

--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -20,6 +20,8 @@
     /** When the process ends after SIGTERM: SIGKILL comes no sooner than 3.7 s after it. */
     private static final long STOP_MS = 3100;
     private static final long STOP_CHECK_MS = 20;
+    /** How much longer the event loop is given for its last turn. */
+    private static final long LAST_TURN_MS = 1000;
     /** How often it is looked whether another process has let go, or listens. */
     private static final long SEEK_MS = 10;
     private static final long US_PER_MS = 1000;
@@ -181,7 +183,9 @@
             }
         });
         try {
-            if (!stopped.await(STOP_MS + LISTEN_MS / 2, TimeUnit.MILLISECONDS)) {
+            // A process that was itself stopped for a while reads what has come meanwhile before it ends.
+            if (!stopped.await(STOP_MS + LISTEN_MS / 2, TimeUnit.MILLISECONDS)
+                    && !stopped.await(LAST_TURN_MS, TimeUnit.MILLISECONDS)) {
                 Log.info("the event loop did not stop in time");
             }
         } catch (final InterruptedException e) {
--- a/src/test/java/driftchute/fleet/CourierProcess.java
+++ b/src/test/java/driftchute/fleet/CourierProcess.java
@@ -44,6 +44,28 @@
         Files.createDirectories(folder.resolve("tmp"));
     }
 
+    private CourierProcess(final CourierProcess before) {
+        this.name = before.name;
+        this.port = before.port;
+        this.folder = before.folder;
+        this.config = before.config;
+    }
+
+    /** The same courier once more, for an upgrade: a process and a log of its own, all else the same. */
+    CourierProcess beside() {
+        return new CourierProcess(this);
+    }
+
+    /** Makes a call on its second address, and reads the line that answers it. */
+    String call(final String line) throws IOException {
+        final String told = log.stream().filter(one -> one.contains("the second address is")).findFirst().orElseThrow();
+        try (Socket socket = new Socket("127.0.0.1", Integer.parseInt(told.replaceFirst(".*:(\\d+).*", "$1")))) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Fleet.PATIENCE_S));
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.ISO_8859_1));
+            return driftchute.node.FakeServer.line(socket.getInputStream());
+        }
+    }
+
     /** A port that nothing listens on now; the courier keeps it across restarts, as a real one keeps its address. */
     static int freePort() throws IOException {
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/src/test/java/driftchute/fleet/Fleet.java
+++ b/src/test/java/driftchute/fleet/Fleet.java
@@ -26,7 +26,7 @@
     static final int BLOCK = 7;
     /** The settings of a small tier: one pure class and one that may not run twice, one message a call. */
     private static final String CONFIG = """
-            {"name":"$NAME","listen":"$LISTEN","discovery":"$DISCOVERY","seed":"%s",
+            {"name":"$NAME","listen":"$LISTEN","mgmt":"127.0.0.1:0","discovery":"$DISCOVERY","seed":"%s",
              "limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},
              "known":{"seq":1,"whole":true,"hosts":[%s]},
              "settings":{"balancers":%d,"my_zone":"a","discovery":"watch","weights":"nominal",
@@ -55,6 +55,12 @@
      * @throws IOException where a stand-in cannot listen
      */
     Fleet(final Path folder, final int couriers, final int endpointCount, final long seed) throws IOException {
+        this(folder, couriers, endpointCount, seed, 1);
+    }
+
+    /** The same, each endpoint with a limit of so many calls a second, which the couriers keep to. */
+    Fleet(final Path folder, final int couriers, final int endpointCount, final long seed, final double share)
+            throws IOException {
         final List<String> listed = new ArrayList<>();
         for (int i = 0; i < endpointCount; i++) {
             final FakeServer endpoint = new FakeServer(this::endpoint);
@@ -62,7 +68,7 @@
             endpoints.add(endpoint);
             relays.add(relay);
             listed.add("{\"host\":\"e" + i + "\",\"dial\":\"" + relay.address() + "\",\"site\":\"a\",\"class\":\"std\","
-                    + "\"block\":" + BLOCK + ",\"health\":\"Ready\",\"share\":1.0,\"born_ms\":0}");
+                    + "\"block\":" + BLOCK + ",\"health\":\"Ready\",\"share\":" + share + ",\"born_ms\":0}");
         }
         hosts = String.join(",", listed);
         for (int i = 0; i < couriers; i++) {
