Send nothing on the list from before a restart until discovery confirms it or is lost

Ruled out: a watch that broke (no list_lost line), a late change (the answer came 56 ms after the question), SIGHUP (11.700, later), a call held back and written late (decided 52 ms before, after the start). Control now sends nothing on a restored list until the watch has said something, be it an empty line, or is lost. Each change of the list is a log line, with what wants nothing new.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -145,7 +145,7 @@
     private int callsOut, elsewhere, open;
     private double trustUs;
     private long nowUs, nextStepUs, stopUs = NEVER, freshUntilUs = NEVER;
-    private boolean subscribed;
+    private boolean subscribed, unconfirmed;
     private long askAgainUs = NEVER, askBackOffUs = ASK_LEAST_US;
 
     /** A courier that knows nothing yet but its settings; {@code seed} is its only source of chance. */
@@ -347,9 +347,9 @@
 
     // ---------------------------------------------------------------- dispatch
 
-    /** Sends, best first, until no slot is free or no message may go. */
+    /** Sends, best first, until no slot is free or no message may go; nothing on a restored list before news or its loss. */
     private void dispatch() {
-        while (callsOut + elsewhere < settings.limits().slots()) {
+        while (!unconfirmed && callsOut + elsewhere < settings.limits().slots()) {
             final Job best = best(true);
             if (best == null) {
                 return;
@@ -976,6 +976,7 @@
     @Override
     public void onList(final long now, final Update update, final List<Endpoint> entries) {
         nowUs = now;
+        unconfirmed = update == Update.RESTORED && settings.listOnRequest();
         if (update == Update.LOST) {
             subscribed = false;
             askAgainUs = nowUs + jitter(askBackOffUs);
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -29,12 +29,14 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.StreamSupport;
 
 /**
  * The list of endpoints: the copy from the configuration at first, then a watch on its changes. When the watch breaks,
@@ -184,10 +186,8 @@
         }
         final long before = seq;
         seq = list.path("seq").asLong(seq);
-        if (update != Courier.Update.CHANGES) {
-            Log.event("list", "update", update.name().toLowerCase(java.util.Locale.ROOT), "seq", seq, "after", before,
-                    "entries", changed.size(), "from", String.valueOf(address));
-        }
+        Log.event("list", "update", update.name().toLowerCase(Locale.ROOT), "seq", seq, "after", before, "entries",
+                changed.size(), "unready", unready(list), "from", String.valueOf(address));
         host.list(update, changed);
         gone.forEach(this::forget);
         final long nowUs = clock.nowUs();
@@ -195,6 +195,14 @@
         destinations.values().removeIf(seenUs -> seenUs < nowUs - VACANT_US);
     }
 
+    /** What a list says of endpoints that want nothing new, for the log: names with their health. */
+    private static String unready(final JsonNode list) {
+        return StreamSupport.stream(list.path("hosts").spliterator(), false)
+                .filter(node -> !node.path("health").asText().equals("Ready"))
+                .map(node -> node.path("host").asText() + " " + node.path("health").asText())
+                .collect(Collectors.joining(", "));
+    }
+
     private void forget(final long endpoint) {
         host.endpoints().removed(endpoint);
         final Courier.Endpoint entry = entries.remove(endpoint);
@@ -234,6 +242,8 @@
         private ChannelHandlerContext context;
         private boolean asksWhole;
         private boolean answered;
+        /** A line has come, be it an empty one. */
+        private boolean heard;
 
         @Override
         public void channelActive(final ChannelHandlerContext ctx) {
@@ -277,7 +287,11 @@
                         line.reset();
                         if (!text.isEmpty()) {
                             read(text);
+                        } else if (!heard) {
+                            // Nothing has changed since the version asked for: that is news of a list that may be old.
+                            host.list(Courier.Update.CHANGES, List.of());
                         }
+                        heard = true;
                     } else {
                         line.write(next);
                     }
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -875,6 +875,22 @@
         assertTrue(scene.sent.stream().anyMatch(send -> send.endpoint() == 1), scene.sent.toString());
     }
 
+    /** A list from before the start may name what drains by now: the answer to the first question comes first. */
+    @Test
+    void nothingGoesOnARestoredListUntilItIsConfirmedOrCannotBeHad() {
+        for (final Update news : List.of(Update.CHANGES, Update.WHOLE, Update.LOST)) {
+            final Scene scene = Scene.withTwoEndpoints(Scene.settings(4, 1, false, true));
+            scene.list(Update.RESTORED, Scene.endpoint(1, DEST, "a"));
+            scene.take("m", 0);
+            scene.pass(SECOND);
+            assertEquals(0, scene.count("m"));
+            scene.list(news, news == Update.LOST ? new Courier.Endpoint[0]
+                    : new Courier.Endpoint[] {Scene.endpoint(1, DEST, "a")});
+            scene.pass(100 * MS);
+            assertEquals(1, scene.count("m"), news.name());
+        }
+    }
+
     private static Courier.Memory memory(final int callsOut, final Courier.Phase phase, final long waitUntilUs) {
         return new Courier.Memory(DEST, callsOut, phase, waitUntilUs, 0, Long.MAX_VALUE, 0, 0, 8, 5, 5, 0, 0,
                 Double.POSITIVE_INFINITY, 1);
--- a/src/test/java/driftchute/fleet/Fleet.java
+++ b/src/test/java/driftchute/fleet/Fleet.java
@@ -47,7 +47,7 @@
     final List<String> notices = new CopyOnWriteArrayList<>();
     /** Calls that endpoints answered 200 (all that came whole), by message id. */
     final Map<String, AtomicInteger> calls = new ConcurrentHashMap<>();
-    private final String hosts;
+    final String hosts;
 
     /**
      * Starts the stand-ins and writes each courier's folder; {@link #startAll} starts the couriers.
