--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -347,7 +347,7 @@
 
     // ---------------------------------------------------------------- dispatch
 
-    /** Sends, best first, until no slot is free or no message may go; nothing on a restored list before news or its loss. */
+    /** Sends, best first, until no slot is free or no message may go; nothing on an unconfirmed list. */
     private void dispatch() {
         while (!unconfirmed && callsOut + elsewhere < settings.limits().slots()) {
             final Job best = best(true);
