--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -144,7 +144,7 @@
     /** Calls out here, calls that the process before still has out, and messages held. */
     private int callsOut, elsewhere, open;
     private double trustUs;
-    private long nowUs, nextStepUs, stopUs = NEVER;
+    private long nowUs, nextStepUs, stopUs = NEVER, freshUntilUs = NEVER;
     private boolean subscribed;
     private long askAgainUs = NEVER, askBackOffUs = ASK_LEAST_US;
 
@@ -248,6 +248,12 @@
         }
     }
 
+    @Override
+    public void onHeard(final long now, final long untilUs) {
+        nowUs = now;
+        freshUntilUs = untilUs;
+    }
+
     @Override
     public void onAlone(final long now) {
         nowUs = now;
@@ -372,6 +378,9 @@
         if (live >= cap(lane) || lane.elsewhere + lane.calls.size() >= share(lane)) {
             return NEVER;
         }
+        if (lane.elsewhere > 0 && nowUs > freshUntilUs) {
+            return nowUs + POLL_US;
+        }
         final double rate = Math.min(partOfLimit(lane), lane.spacing);
         final long guardUs = switch (lane.phase) {
             case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -113,6 +113,12 @@
                   long rampFromUs, double rampSpanUs, double window, double rate, double callRate, double limit,
                   double shareLeft, double spacing, double pace) {
 
+        /** The same with another count of calls out. */
+        public Memory withCallsOut(final int calls) {
+            return new Memory(destination, calls, phase, waitUntilUs, pauseUntilUs, troubleFromUs, rampFromUs,
+                    rampSpanUs, window, rate, callRate, limit, shareLeft, spacing, pace);
+        }
+
         /** The same on a clock that is so much ahead. */
         public Memory onClock(final long aheadUs) {
             return new Memory(destination, callsOut, phase, waitUntilUs + aheadUs, pauseUntilUs + aheadUs,
@@ -166,6 +172,12 @@
      */
     void onMemory(long nowUs, Memory memory);
 
+    /**
+     * What the process before this one is told is known here up to a moment that is recent enough until
+     * {@code freshUntilUs}. Later, nothing new goes where it still has calls out: each of them may tell a wait.
+     */
+    void onHeard(long nowUs, long freshUntilUs);
+
     /** The process before this one has no calls out any more. */
     void onAlone(long nowUs);
 
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -335,11 +335,21 @@
         call.parcels.forEach(parcel -> host.outcome(parcel, call, answer));
     }
 
+    /** An earlier process was told a wait there: what is not written yet may not go. */
+    void holdBack(final long destination) {
+        abandonUnwritten(call -> !call.pool.apart && call.pool.destination == destination);
+    }
+
     /** A wait was told: what is on its way to that destination, and not written yet, may not go. */
     private void holdBack(final Pool told) {
         abandonUnwritten(call -> told.apart ? call.pool == told : call.pool.destination == told.destination);
     }
 
+    /** True while calls are out. */
+    boolean isCalling() {
+        return !calls.isEmpty();
+    }
+
     /** Ends every call that is not written: none of it has run, and its messages are free to go again. */
     void giveBackUnwritten() {
         abandonUnwritten(call -> true);
@@ -371,6 +381,12 @@
         }
 
         private void write(final Call next) {
+            if (!host.mayWrite(next.pool.destination) || !calls.contains(next)) {
+                // The connection has not served: nothing of it is kept.
+                context.close();
+                loop.execute(() -> abandon(next, Result.NOT_SENT));
+                return;
+            }
             call = next;
             call.channel = context.channel();
             call.reader = this;
@@ -485,6 +501,7 @@
             }
             final long waitUs = waitUs(head);
             if (waitUs > 0) {
+                host.waitTold(done.pool.destination, String.valueOf(done.pool.address), waitUs);
                 holdBack(done.pool);
             }
             final Answer all = answer(head, waitUs);
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -29,6 +29,15 @@
     private static final long HEED_MS = 50;
     /** How often the file of a process that ends is looked at. */
     private static final long FOLLOW_MS = 5;
+    /** How often a process that ends says up to when all that its calls were told is recorded. */
+    private static final long HEARD_MS = 10;
+    /**
+     * How old that may be for a call to go where the process before has calls out. A call may arrive for 100 ms after an
+     * answer that tells a wait (PROTOCOL-irishead.md, The rules on sockets); the rest is for its way.
+     */
+    private static final long HEARD_FRESH_US = 60_000;
+    /** Beyond that by so much, its silence is worth a line. */
+    private static final long SILENT_US = 200_000;
     /** Share of the store that makes a pile. */
     private static final double PILE_SHARE = 0.1;
 
@@ -82,6 +91,14 @@
     /** Another process decides and sends now; this one ends the calls that are out. */
     private boolean leaving;
     private ScheduledFuture<?> following;
+    /** The end of the latest wait of each destination that was taken over from them. */
+    private final Map<Long, Long> waitsTakenUs = new HashMap<>();
+    /** Until when the earlier process counts as heard. */
+    private long freshUntilUs = Long.MAX_VALUE;
+    private boolean silent;
+    /** When the loop last came by, Unix us, and the time before: up to then each connection has surely been read. */
+    private long turnWallUs;
+    private long readWallUs;
     /** The orders that the decisions have been told of. */
     private Orders.Standing heeded;
     /** Since the log last told how things stand: nothing else happens on the loop during a pass. */
@@ -104,7 +121,7 @@
     /** Begins to follow the list: nothing else is done before this process takes the place of the one before. */
     void start() {
         discovery.restore(config.known());
-        loop.scheduleWithFixedDelay(this::heed, HEED_MS, HEED_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::lookUp, HEED_MS, HEED_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::tell, STATUS_MS, STATUS_MS, TimeUnit.MILLISECONDS);
         touch();
     }
@@ -115,6 +132,7 @@
         final Journal.News news = journal.poll();
         news.over().forEach(journal::over);
         remember(news.memories());
+        hear();
         journal.live().forEach(this::resume);
         if (!messages.isEmpty()) {
             Log.event("resumed", "msg", "resumed " + messages.size() + " messages", "messages", messages.size());
@@ -136,6 +154,7 @@
         final Journal.News news = journal.poll();
         news.over().forEach(this::withdraw);
         remember(news.memories());
+        hear();
         news.mine().forEach(this::resume);
         if (!news.mine().isEmpty() || !news.memories().isEmpty()) {
             touch();
@@ -150,7 +169,56 @@
 
     private void remember(final List<Courier.Memory> memories) {
         final long aheadUs = clock.nowUs() - clock.wallUs();
-        memories.forEach(memory -> control.onMemory(clock.nowUs(), memory.onClock(aheadUs)));
+        memories.forEach(memory -> remember(memory.onClock(aheadUs)));
+    }
+
+    private void remember(final Courier.Memory memory) {
+        final long destination = memory.destination();
+        control.onMemory(clock.nowUs(), memory);
+        final long leftUs = memory.waitUntilUs() - clock.nowUs();
+        if (leftUs > 0) {
+            final Long before = waitsTakenUs.put(destination, memory.waitUntilUs());
+            if (before == null || before < memory.waitUntilUs() - HEARD_FRESH_US) {
+                Log.event("wait_taken_over", "dest", destination, "left_ms", leftUs / US_PER_MS);
+            }
+            endpoints.holdBack(destination);
+        }
+    }
+
+    /** Tells the decisions up to when it is known here what the calls of an earlier process were told. */
+    private void hear() {
+        final long heardWallUs = journal.heardWallUs();
+        freshUntilUs = heardWallUs == Long.MAX_VALUE ? heardWallUs : clock.fromWallUs(heardWallUs) + HEARD_FRESH_US;
+        control.onHeard(clock.nowUs(), freshUntilUs);
+        final boolean now = clock.nowUs() > freshUntilUs && clock.nowUs() - freshUntilUs > SILENT_US;
+        if (now && !silent) {
+            Log.event("earlier_silent", "msg", "an earlier process with calls out has not been heard for "
+                    + (clock.nowUs() - freshUntilUs + HEARD_FRESH_US) / US_PER_MS + " ms; nothing goes where it has calls");
+        } else if (silent && !now) {
+            Log.event("earlier_heard", "msg", "the earlier process is heard again, or has no calls out");
+        }
+        silent = now;
+    }
+
+    /**
+     * True if a call to that destination may be written now. While an earlier process ends its calls, what these were
+     * told is looked up once more: decisions and connecting take time, and a wait that comes meanwhile binds.
+     */
+    boolean mayWrite(final long destination) {
+        if (leaving) {
+            return false;
+        }
+        if (journal.hasPredecessors()) {
+            followPredecessors();
+        }
+        return journal.callsOutElsewhere(destination) == 0 || clock.nowUs() <= freshUntilUs;
+    }
+
+    /** An answer told a wait: worth a line while two processes are one courier. */
+    void waitTold(final long destination, final String dial, final long waitUs) {
+        if (leaving || journal.hasPredecessors()) {
+            Log.event("wait_told", "dest", destination, "dial", dial, "ms", waitUs / US_PER_MS);
+        }
     }
 
     /** Descriptors that calls may reckon with: two processes of one courier share them. */
@@ -268,18 +336,19 @@
         final Open open = parcel.open();
         open.call = null;
         final boolean delivered = answer.result() == Courier.Result.DELIVERED;
-        if (!open.over) {
-            if (delivered || answer.over()) {
-                forget(open);
-            } else {
-                journal.settle(open.held, answer.result().neverRan());
-            }
-        }
-        control.onOutcome(clock.nowUs(), new Courier.Outcome(open.held.id, answer.result(), open.over,
+        final boolean ends = !open.over && (delivered || answer.over());
+        final boolean goesOn = !open.over && !ends;
+        control.onOutcome(clock.nowUs(), new Courier.Outcome(open.held.id, answer.result(), !goesOn,
                 call.endpoint(), clock.nowUs() - call.sentUs(), answer.waitUs(), answer.allowance()));
         if (leaving) {
+            // First what was told with the outcome: once that is recorded, the next process may send the message.
             leave(open);
         }
+        if (ends) {
+            forget(open);
+        } else if (goesOn) {
+            journal.settle(open.held, answer.result().neverRan());
+        }
         touch();
     }
 
@@ -316,6 +385,14 @@
         longestPassUs = Math.max(longestPassUs, clock.nowUs() - fromUs);
     }
 
+    private void lookUp() {
+        if (!leaving) {
+            heed();
+            readWallUs = turnWallUs;
+            turnWallUs = clock.wallUs();
+        }
+    }
+
     /** Tells the decisions which endpoints the operators have taken out, whenever that or the list has changed. */
     private void heed() {
         final Orders.Standing standing = orders.standing();
@@ -469,9 +546,21 @@
         endpoints.giveBackUnwritten();
         messages.values().removeIf(open -> open.call == null);
         journal.leave(memories());
+        journal.heard(readWallUs);
+        readWallUs = clock.wallUs();
+        loop.schedule(this::heard, HEARD_MS, TimeUnit.MILLISECONDS);
         endpoints.closeAllIdle();
     }
 
+    /** Says up to when all is recorded: the loop has read each connection since this last ran, and not yet in this run. */
+    private void heard() {
+        if (endpoints.isCalling()) {
+            journal.heard(readWallUs);
+            readWallUs = clock.wallUs();
+            loop.schedule(this::heard, HEARD_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** The outcome of a message's call has come: the next process goes on with it, with what is known now. */
     private void leave(final Open open) {
         messages.remove(open.held.id);
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -59,6 +59,8 @@
      * an id that it does not hold, so one release back reads these files.
      */
     static final byte HEADER = 7;
+    /** Up to when a process that ends has recorded all that its calls were told; older code skips it as well. */
+    static final byte HEARD = 8;
     /** The format that this code writes, and the latest that it reads. */
     static final int VERSION = 2;
 
@@ -191,6 +193,16 @@
         return !predecessors.isEmpty();
     }
 
+    /** Calls that earlier processes still have out at a destination. */
+    int callsOutElsewhere(final long destination) {
+        return predecessors.stream().mapToInt(predecessor -> predecessor.callsOut(destination)).sum();
+    }
+
+    /** Up to when all is known that the calls of earlier processes were told, Unix us; for ever where none is out. */
+    long heardWallUs() {
+        return predecessors.stream().mapToLong(Predecessor::heardWallUs).min().orElse(Long.MAX_VALUE);
+    }
+
     /** Reads on in the files of earlier processes, and records what this one takes up of them. */
     News poll() {
         final News news = new News(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
@@ -215,7 +227,9 @@
 
     private void takeUp(final Predecessor predecessor, final News news) {
         final JournalReader reader = predecessor.reader();
-        news.memories().addAll(reader.takeMemories());
+        for (final Courier.Memory memory : predecessor.takeMemories()) {
+            news.memories().add(memory.withCallsOut(callsOutElsewhere(memory.destination())));
+        }
         for (final Held held : reader.live().values()) {
             final Held own = live.get(held.id);
             // With a call out it is the earlier process's, until that has ended the call or is gone itself.
@@ -249,6 +263,11 @@
         memories.forEach(this::remember);
     }
 
+    /** Records up to when all that this process's calls were told is recorded, for the next process. */
+    void heard(final long wallUs) {
+        append(record(HEARD, "", out -> out.writeLong(wallUs)));
+    }
+
     /** Records what was learnt of a destination, for the next process. */
     void remember(final Courier.Memory memory) {
         append(record(MEMORY, "", out -> {
--- a/src/main/java/driftchute/node/JournalReader.java
+++ b/src/main/java/driftchute/node/JournalReader.java
@@ -24,6 +24,8 @@
 
     private static final int HEAD_BYTES = 2 * Integer.BYTES;
     private static final int MOST_RECORD_BYTES = 1 << 17;
+    /** The writer never told up to when it has heard: it is of a release that does not. */
+    static final long NEVER_HEARD = -1;
 
     private final FileChannel file;
     private final Map<String, Held> live = new LinkedHashMap<>();
@@ -34,6 +36,7 @@
     private Tail tail = Tail.WHOLE;
     /** The format of the file: 1 for files before the header record, else what the header says. */
     private int version = 1;
+    private long heardWallUs = NEVER_HEARD;
 
     JournalReader(final FileChannel file) {
         this.file = file;
@@ -120,6 +123,11 @@
         return all;
     }
 
+    /** Up to when its writer has recorded all that its calls were told, Unix us; {@link #NEVER_HEARD} if it never said. */
+    long heardWallUs() {
+        return heardWallUs;
+    }
+
     private void apply(final DataInputStream in) throws IOException {
         final byte type = in.readByte();
         final String id = in.readUTF();
@@ -131,6 +139,8 @@
         } else if (type == Journal.OVER) {
             live.remove(id);
             ended.add(id);
+        } else if (type == Journal.HEARD) {
+            heardWallUs = in.readLong();
         } else if (type == Journal.MEMORY) {
             memories.add(memory(in));
         } else if (held != null) {
--- a/src/main/java/driftchute/node/Predecessor.java
+++ b/src/main/java/driftchute/node/Predecessor.java
@@ -1,10 +1,14 @@
 package driftchute.node;
 
+import driftchute.Courier;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /**
  * The journal of an earlier process of this courier, which may still be writing it: it is read as it grows, until that
@@ -15,6 +19,8 @@
     private final Lock lock;
     private final FileChannel file;
     private final JournalReader reader;
+    /** Calls that it has out, by destination, as it last told. */
+    private final Map<Long, Integer> callsOut = new HashMap<>();
     private boolean gone;
 
     Predecessor(final Path path, final Lock lock) throws IOException {
@@ -37,6 +43,24 @@
         return gone;
     }
 
+    /** What it told since this was last asked. */
+    List<Courier.Memory> takeMemories() {
+        final List<Courier.Memory> news = reader.takeMemories();
+        news.forEach(memory -> callsOut.put(memory.destination(), memory.callsOut()));
+        return news;
+    }
+
+    /** Calls that it has out at a destination; none once it is gone. */
+    int callsOut(final long destination) {
+        return gone ? 0 : callsOut.getOrDefault(destination, 0);
+    }
+
+    /** Up to when all is known that its calls were told, Unix us; for ever where it has none out, or never says. */
+    long heardWallUs() {
+        final boolean out = !gone && callsOut.values().stream().anyMatch(calls -> calls > 0);
+        return out && reader.heardWallUs() != JournalReader.NEVER_HEARD ? reader.heardWallUs() : Long.MAX_VALUE;
+    }
+
     JournalReader reader() {
         return reader;
     }
--- a/src/test/java/driftchute/ControlTest.java
+++ b/src/test/java/driftchute/ControlTest.java
@@ -913,6 +913,25 @@
         assertEquals(3, scene.sent.size(), "all of its share is this one's");
     }
 
+    /** Where the process before has calls out, nothing goes once what these were told is known for too long ago. */
+    @Test
+    void nothingGoesWhereASilentProcessHasCallsOut() {
+        final Scene scene = Scene.withTwoEndpoints(Scene.settings());
+        scene.control.onMemory(scene.nowUs, memory(1, Courier.Phase.WELL, 0));
+        scene.control.onHeard(scene.nowUs, scene.nowUs - 1);
+        scene.take("m", 0);
+        scene.pass(SECOND);
+        assertEquals(0, scene.count("m"));
+        scene.control.onHeard(scene.nowUs, scene.nowUs + 60 * MS);
+        scene.pass(50 * MS);
+        assertEquals(1, scene.count("m"), "looked at again without anything else that happens");
+        scene.control.onHeard(scene.nowUs, scene.nowUs - 1);
+        scene.control.onMemory(scene.nowUs, memory(0, Courier.Phase.WELL, 0));
+        scene.take("n", 0);
+        scene.pass(50 * MS);
+        assertEquals(1, scene.count("n"), "no calls are out there any more");
+    }
+
     /** An outage that the process before saw is one for this one: trials, and a ramp after the first success. */
     @Test
     void anOutageThatTheProcessBeforeSawIsKnown() {
