Restart: keep clients' connections for 2 s, empty the listener's queue, end the rest in order

Cause: at SIGTERM with nobody standing by, Main.drain had Intake close every connection without a request at once, so that clients that send on met that close under their next request; 0.55 s later the listener was closed with its queue, which resets what stands in it; and from then on the process ended as soon as it owed nothing, under open connections.

Change: answers end their connections as before; a connection that was used stays for 2 s from SIGTERM, one that never asked for 2 s from its beginning (TERMS, Connections). The listener is closed as in an upgrade. At 2.6 s what is left is ended: a request not yet whole gets 503, the rest is closed. The process ends once no connection is open and nothing is owed, at 3.1 s at the latest.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -75,8 +75,9 @@
     private static final double CROWDED_SHARE = 0.5;
     /** How often the log tells of connections closed for lack of room. */
     private static final long CROWDED_LOG_US = 5_000_000;
-    /** In a drain a connection is closed once idle for so long, and each that is idle so long after its beginning. */
+    /** In a drain a connection is closed once idle for so long: no sooner may a courier (TERMS-irishead.md). */
     private static final long DRAIN_IDLE_US = 2_000_000;
+    /** In the operators' drain, and in an upgrade, each that is idle so long after its beginning is closed. */
     private static final long DRAIN_US = 1_500_000;
     /** For how long, and how much, what a client sends behind its last answer is read away. */
     private static final long LINGER_MS = 500;
@@ -102,6 +103,8 @@
     /** Since when the operators have drained it, as far as was noticed; never, while they have not. */
     private long drainedSinceUs = Long.MAX_VALUE;
     private boolean ending;
+    /** Since when the process ends with nobody to take its place; long ago, while it does not. */
+    private long restartSinceUs = Long.MIN_VALUE;
     /** Another process takes this one's place: the courier as a whole stays up. */
     private boolean leaving;
     /** Connections closed for lack of room since the log last told, by their use; and when it may tell again. */
@@ -148,10 +151,14 @@
         return listener.localAddress().toString().replaceFirst(".*/", "");
     }
 
-    /** From now on answers end their connections, and those on which nothing is asked are closed. */
+    /**
+     * The process ends and nobody takes its place: from now on answers end their connections. Clients go on using those
+     * they have, so one on which nothing is asked stays for 2 s more and is closed only then
+     * (docs/restart-connections.md).
+     */
     void drain() {
         ending = true;
-        List.copyOf(sessions).forEach(Session::closeIfIdle);
+        restartSinceUs = clock.nowUs();
     }
 
     /** From now on answers end their connections; those on which nothing is asked are closed by and by. */
@@ -197,10 +204,27 @@
         return ending || orders.standing().drain();
     }
 
-    /** Accepts no further connection; those that stand are still served. */
-    void stopListening() {
-        listener.close();
-        List.copyOf(sessions).forEach(Session::closeIfIdle);
+    /**
+     * Ends what is left, before the end of the process does: a request that is still coming in is refused, so that it
+     * has its final answer and may go elsewhere, and a connection on which nothing is asked is closed. What is closing
+     * already, or is being answered, ends by itself.
+     */
+    void hangUp() {
+        int idle = 0;
+        int incomplete = 0;
+        for (final Session session : List.copyOf(sessions)) {
+            if (session.isIdle()) {
+                session.drop();
+                idle++;
+            } else if (session.askedSinceUs != Long.MAX_VALUE && !session.isClosing()) {
+                session.reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                incomplete++;
+            }
+        }
+        if (idle + incomplete > 0) {
+            Log.event("hung_up", "msg", "before the end: closed " + idle + " connections without a request, refused "
+                    + incomplete + " requests not yet whole", "idle", idle, "incomplete", incomplete);
+        }
     }
 
     /** Closes what is of no use, and answers what does not come to an end, before anyone has to ask why. */
@@ -214,7 +238,7 @@
                 unfinished++;
                 session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
             } else if (session.isIdle()
-                    && session.sinceUs <= nowUs - (session.hasAsked ? idleUs : REQUEST_US)) {
+                    && session.idleSinceUs() <= nowUs - (session.hasAsked ? idleUs : REQUEST_US)) {
                 session.drop();
             }
         }
@@ -234,6 +258,9 @@
 
     /** For how long a connection may be idle now. */
     private long idleUs(final long nowUs) {
+        if (restartSinceUs != Long.MIN_VALUE) {
+            return DRAIN_IDLE_US;
+        }
         if (drainedSinceUs != Long.MAX_VALUE) {
             return nowUs - drainedSinceUs >= DRAIN_US ? 0 : DRAIN_IDLE_US;
         }
@@ -289,6 +316,11 @@
             return Math.max(sinceUs, cameUs);
         }
 
+        /** Since when it counts as idle: one that was used has its whole time once more as the process begins to end. */
+        private long idleSinceUs() {
+            return hasAsked ? Math.max(sinceUs, restartSinceUs) : sinceUs;
+        }
+
         private boolean isIdle() {
             return askedSinceUs == Long.MAX_VALUE && current == null && queue.isEmpty() && !isClosing();
         }
@@ -310,12 +342,6 @@
             return 2;
         }
 
-        private void closeIfIdle() {
-            if (isIdle()) {
-                drop();
-            }
-        }
-
         /** Closes it, and no longer counts it from this moment: its end is told only after this pass. */
         private void drop() {
             sessions.remove(this);
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -17,6 +17,11 @@
     private static final long LISTEN_MS = 550;
     /** The same where another process takes over: one that is slow to listen is waited for, and clients are served. */
     private static final long LEAVE_LISTEN_MS = 2500;
+    /**
+     * When clients' connections that are left are ended: each has had 2 s since it was accepted, and what is answered
+     * then has 0.5 s to be read.
+     */
+    private static final long HANG_UP_MS = 2600;
     /** When the process ends after SIGTERM: SIGKILL comes no sooner than 3.7 s after it. */
     private static final long STOP_MS = 3100;
     private static final long STOP_CHECK_MS = 20;
@@ -193,15 +198,19 @@
         }
     }
 
-    /** Nobody stands by: goes on for a while, and leaves what is not done by then to the next start. */
+    /**
+     * Nobody stands by: goes on for as long as clients have connections open and messages are owed, within what is left
+     * before SIGKILL, and leaves what is not done by then to the next start.
+     */
     private void drain() {
         final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
         intake.drain();
         host.stopping(stopUs);
         loop.schedule(() -> {
-            intake.stopListening();
-            stopWhen(stopUs, host::idle, () -> { });
+            intake.closeListener();
+            stopWhen(stopUs, () -> host.idle() && intake.isEmpty(), intake::hangUp);
         }, LISTEN_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(intake::hangUp, HANG_UP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Another process takes this one's place: ends its calls and its clients' connections, and no more. */
@@ -212,7 +221,10 @@
         host.leave();
         handover.letGo();
         loop.execute(() -> stopListening(fromUs + LEAVE_LISTEN_MS * US_PER_MS));
-        stopWhen(fromUs + STOP_MS * US_PER_MS, () -> host.idle() && intake.isEmpty(), host::cutOff);
+        stopWhen(fromUs + STOP_MS * US_PER_MS, () -> host.idle() && intake.isEmpty(), () -> {
+            intake.hangUp();
+            host.cutOff();
+        });
     }
 
     /** Listens until the next process does, or does not come. */
