Read whole JSON values of the list wherever its lines and reads end

Cause: Discovery.Watch parsed each line by itself. A list that is written indented failed at its first line, the watch was closed and asked for again, 8 times in 20 s, and the courier never learnt a list: it answered 404 for a listed destination.

All entries of a list are read before any of them counts, so that one that cannot be read leaves the list as it was. Empty lines count while no value has begun. The whole-list poll goes through the same reader.

NodeTest's drain comes indented and in pieces.

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -1,8 +1,6 @@
 package driftchute.node;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import driftchute.Courier;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -22,10 +20,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -54,18 +50,19 @@
     /** No version of the list is known that the one asked would understand. */
     private static final long NONE = -1;
     private static final int CONNECT_MS = 1000;
-    private static final int MOST_LINE_BYTES = 1 << 22;
     private static final int OK = 200;
 
+    /** What a list says of one endpoint; one that is gone has no address. */
+    private record Entry(Courier.Endpoint endpoint, InetSocketAddress dial) { }
+
     private final Config config;
     private final EventLoop loop;
     private final Clock clock;
     private final Host host;
-    private final ObjectMapper json = new ObjectMapper();
     private final Map<String, Long> ids = new HashMap<>();
     /** All that the list has ever named; the second address asks on a thread of its own. */
     private final Set<String> listed = ConcurrentHashMap.newKeySet();
-    private final Map<Long, Courier.Endpoint> entries = new HashMap<>();
+    private final Map<Long, Courier.Endpoint> known = new HashMap<>();
     private long nextId = 1;
     /** When each destination was last seen to have an endpoint: between two endpoints it has none for a while. */
     private final Map<Long, Long> destinations = new HashMap<>();
@@ -84,15 +81,15 @@
     }
 
     /** Begins with the list as this courier last had it; it may be old. */
-    void restore(final JsonNode known) {
-        if (known.path("hosts").isArray()) {
-            apply(known, Courier.Update.RESTORED);
+    void restore(final JsonNode list) {
+        if (list.path("hosts").isArray()) {
+            apply(list, Courier.Update.RESTORED);
         }
     }
 
     /** Messages that one call to an endpoint may carry. */
     int messagesPerCall(final long endpoint) {
-        final Courier.Endpoint entry = entries.get(endpoint);
+        final Courier.Endpoint entry = known.get(endpoint);
         return entry == null || entry.kind() < 0 ? 1 : config.settings().kinds().get(entry.kind()).messagesPerCall();
     }
 
@@ -116,11 +113,11 @@
 
     /** True if the list names an endpoint of that destination now. */
     boolean hasEndpoint(final long destination) {
-        return entries.values().stream().anyMatch(entry -> entry.destination() == destination);
+        return known.values().stream().anyMatch(entry -> entry.destination() == destination);
     }
 
     String zone(final long endpoint) {
-        final Courier.Endpoint entry = entries.get(endpoint);
+        final Courier.Endpoint entry = known.get(endpoint);
         return entry == null ? "" : entry.zone();
     }
 
@@ -165,33 +162,34 @@
     }
 
     private void apply(final JsonNode list, final Courier.Update update) {
-        final List<Courier.Endpoint> changed = new ArrayList<>();
-        final List<Long> gone = new ArrayList<>();
-        if (update != Courier.Update.CHANGES) {
-            gone.addAll(entries.keySet());
+        if (update != Courier.Update.CHANGES && !list.path("hosts").isArray()) {
+            throw new IllegalArgumentException("a whole list without its hosts");
         }
-        for (final JsonNode node : list.path("hosts")) {
-            final Courier.Endpoint entry = entry(node);
-            changed.add(entry);
-            gone.remove(entry.id());
-            if (entry.condition() == Courier.Condition.GONE) {
-                gone.add(entry.id());
+        final List<Entry> entries = new ArrayList<>();
+        // All of them first: one that cannot be read leaves the list as it was.
+        list.path("hosts").forEach(node -> entries.add(entry(node)));
+        final List<Long> gone = update == Courier.Update.CHANGES ? new ArrayList<>() : new ArrayList<>(known.keySet());
+        for (final Entry entry : entries) {
+            final Courier.Endpoint endpoint = entry.endpoint();
+            gone.remove(endpoint.id());
+            if (endpoint.condition() == Courier.Condition.GONE) {
+                gone.add(endpoint.id());
                 continue;
             }
-            entries.put(entry.id(), entry);
-            destinations.put(entry.destination(), clock.nowUs());
-            final boolean apart = entry.kind() >= 0 && config.settings().kinds().get(entry.kind()).routesApart();
-            final InetSocketAddress address = Config.address("dial", node.path("dial").asText());
-            host.endpoints().listed(entry, apart, address);
+            known.put(endpoint.id(), endpoint);
+            destinations.put(endpoint.destination(), clock.nowUs());
+            final boolean apart = endpoint.kind() >= 0
+                    && config.settings().kinds().get(endpoint.kind()).routesApart();
+            host.endpoints().listed(endpoint, apart, entry.dial());
         }
         final long before = seq;
         seq = list.path("seq").asLong(seq);
         Log.event("list", "update", update.name().toLowerCase(Locale.ROOT), "seq", seq, "after", before, "entries",
-                changed.size(), "unready", unready(list), "from", String.valueOf(address));
-        host.list(update, changed);
+                entries.size(), "unready", unready(list), "from", String.valueOf(address));
+        host.list(update, entries.stream().map(Entry::endpoint).toList());
         gone.forEach(this::forget);
         final long nowUs = clock.nowUs();
-        entries.values().forEach(entry -> destinations.put(entry.destination(), nowUs));
+        known.values().forEach(entry -> destinations.put(entry.destination(), nowUs));
         destinations.values().removeIf(seenUs -> seenUs < nowUs - VACANT_US);
     }
 
@@ -205,14 +203,20 @@
 
     private void forget(final long endpoint) {
         host.endpoints().removed(endpoint);
-        final Courier.Endpoint entry = entries.remove(endpoint);
+        final Courier.Endpoint entry = known.remove(endpoint);
         if (entry != null) {
             destinations.put(entry.destination(), clock.nowUs());
         }
         ids.values().remove(endpoint);
     }
 
-    private Courier.Endpoint entry(final JsonNode node) {
+    private Entry entry(final JsonNode node) {
+        final Courier.Endpoint endpoint = endpoint(node);
+        return new Entry(endpoint, endpoint.condition() == Courier.Condition.GONE ? null
+                : Config.address("dial", node.path("dial").asText()));
+    }
+
+    private Courier.Endpoint endpoint(final JsonNode node) {
         final String name = node.path("host").asText();
         if (name.isEmpty() || !node.path("block").canConvertToLong()) {
             throw new IllegalArgumentException("an entry without a host or a block: " + node);
@@ -238,11 +242,11 @@
 
     /** One watch, until its connection ends; before it the whole list, where no version is known. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private JsonValues values;
         private ChannelHandlerContext context;
         private boolean asksWhole;
         private boolean answered;
-        /** A line has come, be it an empty one. */
+        /** A whole list or an empty line has come. */
         private boolean heard;
 
         @Override
@@ -257,6 +261,7 @@
 
         private void ask() {
             asksWhole = seq == NONE;
+            values = new JsonValues(this::take);
             final var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     asksWhole ? "/discovery/hosts" : "/discovery/hosts?watch=1&after=" + seq);
             request.headers().set(HttpHeaderNames.HOST, address.getHostString());
@@ -281,28 +286,16 @@
                 freshUs = asksWhole ? freshUs : clock.nowUs();
                 final byte[] bytes = new byte[content.content().readableBytes()];
                 content.content().readBytes(bytes);
-                for (final byte next : bytes) {
-                    if (next == '\n' && !asksWhole) {
-                        final String text = line.toString(StandardCharsets.UTF_8).trim();
-                        line.reset();
-                        if (!text.isEmpty()) {
-                            read(text);
-                        } else if (!heard) {
-                            // Nothing has changed since the version asked for: that is news of a list that may be old.
-                            host.list(Courier.Update.CHANGES, List.of());
-                        }
-                        heard = true;
-                    } else {
-                        line.write(next);
-                    }
+                values.read(bytes);
+                if (!asksWhole && !heard && values.isEmptyLines()) {
+                    // Nothing has changed since the version asked for: that is news of a list that may be old.
+                    heard = true;
+                    host.list(Courier.Update.CHANGES, List.of());
                 }
             }
-            if (part instanceof LastHttpContent && asksWhole) {
-                final String text = line.toString(StandardCharsets.UTF_8);
-                line.reset();
-                read(text);
+            if (part instanceof LastHttpContent && asksWhole && heard) {
                 ask();
-            } else if (part instanceof LastHttpContent || line.size() > MOST_LINE_BYTES) {
+            } else if (part instanceof LastHttpContent) {
                 ctx.close();
             } else if (part instanceof HttpContent && !asksWhole && !answered) {
                 answered = true;
@@ -311,13 +304,9 @@
             }
         }
 
-        private void read(final String text) {
-            try {
-                final JsonNode list = json.readTree(text);
-                apply(list, list.path("whole").asBoolean() ? Courier.Update.WHOLE : Courier.Update.CHANGES);
-            } catch (final JsonProcessingException e) {
-                throw new IllegalArgumentException("the list cannot be read: " + e.getOriginalMessage(), e);
-            }
+        private void take(final JsonNode list) {
+            heard = true;
+            apply(list, list.path("whole").asBoolean() ? Courier.Update.WHOLE : Courier.Update.CHANGES);
         }
 
         @Override
--- a/src/main/java/driftchute/node/Rehearsal.java
+++ b/src/main/java/driftchute/node/Rehearsal.java
@@ -44,6 +44,8 @@
                   "extra":{"calls_out":4,"per_call":[5],"routes_apart":[false]},
                   "limits":{"max_open":9,"most_tries":2,"idle_close":1000000}}}
                 """.formatted(own, ADDRESS + ":" + mgmtPort, own, own));
+        // Its own discovery never answers with a list.
+        new JsonValues(list -> { }).read(Files.readAllBytes(config));
         Main.start(Map.of("PROXY_CONFIG", config.toString(), "PROXY_STATE", folder.resolve("state").toString()));
         ask(port, "GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
         ask(port, "POST /once HTTP/1.1\r\nHost: a\r\nX-Request-ID: r\r\nX-Priority-Class: once\r\nX-Timeout-Ms: 900\r\n"
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -316,10 +316,11 @@
         rig.hosts = Rig.host("e1", rig.first, "Ready") + "," + Rig.host("e2", rig.second, "Ready");
         rig.start();
         rig.await("the watch", () -> !rig.watches.isEmpty());
-        // In pieces: a line may come in several reads.
-        final String line = "{\"seq\":42,\"whole\":false,\"hosts\":[" + Rig.host("e1", rig.first, "Terminating") + "]}\n";
-        rig.watches.get(0).chunk(line.substring(0, 30));
-        rig.watches.get(0).chunk(line.substring(30));
+        // Indented, and in pieces: a list may come on several lines and in several reads.
+        final String list = "{\n  \"seq\":42,\n\n  \"whole\":false,\n  \"hosts\":[\n    "
+                + Rig.host("e1", rig.first, "Terminating").replace(",", ",\n      ") + "]\n}\n";
+        rig.watches.get(0).chunk(list.substring(0, 30));
+        rig.watches.get(0).chunk(list.substring(30));
         rig.change(43, Rig.host("e3", rig.first, "Gone"));
         assertEquals(202, rig.handIn("warm", "safe").status());
         rig.await("the news to have been read", () -> rig.second.requests.size() + rig.first.requests.size() == 1);
