--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -26,6 +26,7 @@
  * first success it is on a RAMP, paced under the tipping rate until it is surely warm.
  * <li>What can be in time no more, or gains least when the store is full, is refused where that is harmless.
  * <li>The list is followed; nothing new goes to an endpoint that drains or is gone, or that operators bar.
+ * <li>Where couriers share what they know ({@link #onFleet}), rations bound rates and verdicts the phase.
  * </ol>
  */
 public final class Control implements Courier {
@@ -146,6 +147,8 @@
     private double trustUs;
     private long nowUs, nextStepUs, stopUs = NEVER, freshUntilUs = NEVER;
     private boolean subscribed, unconfirmed;
+    /** What the couriers of the tier share; null where they share nothing. */
+    private FleetView fleet;
     private long askAgainUs = NEVER, askBackOffUs = ASK_LEAST_US;
 
     /** A courier that knows nothing yet but its settings; {@code seed} is its only source of chance. */
@@ -320,6 +323,58 @@
         }
     }
 
+    @Override
+    public void onFleet(final long now, final FleetView view) {
+        nowUs = now;
+        fleet = view;
+        view.verdicts().keySet().forEach(id -> Optional.ofNullable(destinations.get(id))
+                .ifPresent(destination -> destination.lanes.forEach(this::heed)));
+    }
+
+    /** Takes up what the tier says: warned of an outage a lane makes trials, later evidence ends its own. */
+    private void heed(final Lane lane) {
+        final Verdict verdict = verdict(lane);
+        final Standing before = lane.heard;
+        lane.heard = verdict == null ? Standing.WELL : verdict.standing();
+        lane.heardFromUs = lane.heard == Standing.OUT ? verdict.sinceUs() : NEVER;
+        if (lane.heard == Standing.OUT && before != Standing.OUT && lane.phase != Phase.OUT) {
+            lane.nextTrialUs = trialUs(lane);
+        } else if (lane.heard == Standing.BACK
+                && Math.max(lane.badUs, lane.rampFromUs) < verdict.sinceUs()) {
+            ramp(lane, verdict.sinceUs());
+        }
+    }
+
+    /** What the tier holds of a lane's destination, or null: nothing, or nothing recent. */
+    private Verdict verdict(final Lane lane) {
+        final Verdict verdict = fleet == null || lane.kind.routesApart() ? null
+                : fleet.verdicts().get(lane.id);
+        return verdict != null && nowUs < verdict.staleAtUs() ? verdict : null;
+    }
+
+    private boolean isHeard(final Lane lane, final Standing standing) {
+        final Verdict verdict = verdict(lane);
+        return verdict != null && verdict.standing() == standing;
+    }
+
+    /** How a lane does, by its own calls and by what is heard: the graver of the two. */
+    private Phase phase(final Lane lane) {
+        return isHeard(lane, Standing.OUT) ? Phase.OUT : lane.phase;
+    }
+
+    @Override
+    public List<Report> reports(final long now) {
+        final List<Report> all = new ArrayList<>();
+        destinations.forEach((id, destination) -> destination.lanes.stream()
+                .filter(lane -> !lane.kind.routesApart() && (destination.jobs > 0 || lane.phase != Phase.WELL
+                        || now - lane.lastSendUs < FORGET_US))
+                .forEach(lane -> all.add(new Report(id, limit(lane), lane.callRate,
+                        (int) Math.ceil(1.0 * destination.waiting.size() / lane.kind.messagesPerCall()),
+                        lane.phase, (int) Math.ceil(lane.badRun), lane.troubleFromUs, lane.lastServedUs,
+                        lane.phase == Phase.OUT && lane.waitUntilUs > now ? lane.waitUntilUs : 0))));
+        return all;
+    }
+
     @Override
     public void onExpired(final long now, final String messageId) {
         nowUs = now;
@@ -363,7 +418,7 @@
         Job best = null;
         for (final Destination destination : busy.values()) {
             for (final Lane lane : destination.lanes) {
-                final boolean open = openAtUs(lane) <= nowUs && (trials || lane.phase == Phase.WELL);
+                final boolean open = openAtUs(lane) <= nowUs && (trials || phase(lane) == Phase.WELL);
                 final Job job = open ? pick(destination, lane, null) : null;
                 best = job != null && (best == null || job.urgency > best.urgency) ? job : best;
             }
@@ -381,14 +436,22 @@
         if (lane.elsewhere > 0 && nowUs > freshUntilUs) {
             return nowUs + POLL_US;
         }
-        final double rate = Math.min(partOfLimit(lane), lane.spacing);
-        final long guardUs = switch (lane.phase) {
-            case WELL -> lane.lastSendUs + (long) (SECOND_US / rate);
-            case OUT -> live == 0 ? lane.nextTrialUs : NEVER;
+        final double part = partOfLimit(lane);
+        final long rationedUs = lane.lastSendUs + (long) (fleet == null ? 0 : SECOND_US / part);
+        final long guardUs = switch (phase(lane)) {
+            case WELL -> lane.lastSendUs + (long) (SECOND_US / Math.min(part, lane.spacing));
+            case OUT -> live == 0 ? trialAtUs(lane) : NEVER;
             case RAMP -> lane.lastSendUs + (long) (lane.rampSpanUs * lane.lastWeight
                     / tippingShare(nowUs - lane.rampFromUs));
         };
-        return Math.max(guardUs, Math.max(lane.waitUntilUs, lane.pauseUntilUs));
+        return Math.max(Math.max(guardUs, rationedUs), Math.max(lane.waitUntilUs, lane.pauseUntilUs));
+    }
+
+    /** When a lane that is out may be tried: by the tier's permit or, where it has no trier, by itself. */
+    private long trialAtUs(final Lane lane) {
+        final long untilUs = isHeard(lane, Standing.OUT) ? verdict(lane).trialUntilUs() : NEVER;
+        return untilUs == NEVER ? lane.nextTrialUs
+                : untilUs > Math.max(nowUs, lane.permitUs) ? nowUs : NEVER;
     }
 
     /**
@@ -397,6 +460,12 @@
      * Failing a report, the whole of an exact weight.
      */
     private double partOfLimit(final Lane lane) {
+        if (fleet != null && limit(lane) > 0) {
+            final Ration ration = lane.kind.routesApart() ? null : fleet.rations().get(lane.id);
+            final double even = fleet.reserve() * limit(lane) / settings.couriers();
+            return ration == null || nowUs >= ration.untilUs() ? even
+                    : Math.min(ration.callsPerSecond(), limit(lane));
+        }
         if (lane.reportedLimit > 0) {
             return Math.max(lane.reportedLimit / settings.couriers(),
                     lane.callRate + LEFT_PART * lane.shareLeft * lane.reportedLimit);
@@ -404,6 +473,12 @@
         return settings.weights() == Weights.NOMINAL && lane.told > 0 ? lane.told : Double.POSITIVE_INFINITY;
     }
 
+    /** The limit that is told of a lane, by answers or an exact weight, calls a second; 0: none. */
+    private double limit(final Lane lane) {
+        return lane.reportedLimit > 0 || settings.weights() != Weights.NOMINAL ? lane.reportedLimit
+                : lane.told;
+    }
+
     /**
      * Calls that a lane may have in flight now: its window, within its share of the slots. An overdue call
      * that may not go again has no time-out but its message's time. It holds a slot and counts against the
@@ -411,11 +486,12 @@
      * filled would let nothing find that out.
      */
     private int cap(final Lane lane) {
-        return (int) Math.max(1, Math.floor(Math.min(lane.window, share(lane))));
+        final double window = isHeard(lane, Standing.SUSPECTED) ? lane.window / 2 : lane.window;
+        return (int) Math.max(1, Math.floor(Math.min(window, share(lane))));
     }
 
     private int share(final Lane lane) {
-        final double share = lane.phase == Phase.WELL && !lane.slow ? HEALTHY_SHARE : SICK_SHARE;
+        final double share = phase(lane) == Phase.WELL && !lane.slow ? HEALTHY_SHARE : SICK_SHARE;
         return (int) Math.max(1, Math.floor(share * settings.limits().slots()));
     }
 
@@ -431,7 +507,7 @@
                 continue;
             }
             final double urgency = urgency(lane, job, lineUs);
-            final int risk = lane.phase != Phase.OUT || job.mayHaveRun ? 0 : 1 + job.kind.effect().ordinal();
+            final int risk = phase(lane) != Phase.OUT || job.mayHaveRun ? 0 : 1 + job.kind.effect().ordinal();
             if (best == null || risk < bestRisk || risk == bestRisk && urgency > bestUrgency) {
                 best = job;
                 bestRisk = risk;
@@ -472,7 +548,7 @@
         final int kind = job.message.messageClass();
         for (final Node node : lane.nodes) {
             if (!node.isOpen() || !zoneAllows(job, node)
-                    || lane.phase == Phase.WELL && nowUs < node.avoidUntilUs[kind]) {
+                    || phase(lane) == Phase.WELL && nowUs < node.avoidUntilUs[kind]) {
                 continue;
             }
             final boolean handshake = node.inFlight >= node.connections * settings.limits().multiplex()
@@ -481,7 +557,7 @@
             final double taken = node.inFlight + node.badRun[kind]
                     + (handshake ? HANDSHAKE_LOAD : 0) + (cross ? CROSS_LOAD : 0);
             // One that is back is cold: a call weighs there as much as its capacity is short.
-            final double load = lane.phase == Phase.OUT ? node.lastSendUs
+            final double load = phase(lane) == Phase.OUT ? node.lastSendUs
                     : (1 + taken) / warmth(nowUs - node.backUs);
             if (best == null || load < bestLoad) {
                 best = node;
@@ -533,11 +609,12 @@
         call.reused = node.connections * streams >= node.inFlight;
         node.connections = Math.max(node.connections, (node.inFlight + streams - 1) / streams);
         node.lastSendUs = lane.lastSendUs = nowUs;
-        if (lane.phase == Phase.OUT) {
+        final boolean alone = phase(lane) == Phase.OUT;
+        if (alone) {
             lane.nextTrialUs = trialUs(lane);
+            lane.permitUs = isHeard(lane, Standing.OUT) ? verdict(lane).trialUntilUs() : 0;
         }
         Job job = first;
-        final boolean alone = lane.phase == Phase.OUT;
         while (job != null) {
             call.messages++;
             call.unsafe = job.kind.effect() == Effect.UNSAFE;
@@ -674,11 +751,8 @@
                 lane.badRun = 0;
                 lane.stretch = Math.max(1, lane.stretch - STRETCH * SAMPLE_WEIGHT);
                 lane.failShare -= part * FAIL_WEIGHT * lane.failShare;
-                if (lane.phase == Phase.OUT) {
-                    lane.phase = Phase.RAMP;
-                    lane.rampFromUs = nowUs;
-                    lane.rampSpanUs = patienceUs(lane, nowUs);
-                    lane.failShare = 0;
+                if (phase(lane) == Phase.OUT) {
+                    ramp(lane, nowUs);
                 }
                 lane.troubleFromUs = NEVER;
             }
@@ -736,9 +810,19 @@
         }
     }
 
+    /** The lane's destination is back since then, and cold. */
+    private void ramp(final Lane lane, final long fromUs) {
+        lane.phase = Phase.RAMP;
+        lane.rampFromUs = fromUs;
+        lane.rampSpanUs = patienceUs(lane, nowUs);
+        lane.failShare = lane.badRun = 0;
+        lane.troubleFromUs = NEVER;
+    }
+
     /** Adds to a lane's run of bad outcomes; a long run, or a high share of failures, is an outage. */
     private void suspect(final Lane lane, final double weight) {
         lane.badRun += weight;
+        lane.badUs = weight > 0 ? nowUs : lane.badUs;
         // Calls in flight are turned away together: a run of refusals right behind a success is crowding.
         final boolean run = lane.badRun + silence(lane) >= OUT_WEIGHT
                 && nowUs - lane.lastServedUs >= PAUSE_US;
@@ -808,7 +892,8 @@
      */
     private long trialUs(final Lane lane) {
         final long fromUs = Math.max(nowUs, lane.waitUntilUs);
-        final double ageUs = Math.max(PAUSE_US, fromUs - lane.troubleFromUs);
+        final long outUs = Math.min(lane.troubleFromUs, lane.heardFromUs);
+        final double ageUs = Math.max(PAUSE_US, fromUs - outUs);
         final double gapUs = ageUs * (Math.pow(1 - random.nextDouble(), -1 / tippingShare(0)) - 1);
         return fromUs + (long) Math.min(gapUs, jitter((long) (apartUs(lane) / tippingShare(0))));
     }
@@ -1024,7 +1109,7 @@
         final Kind kind = entry.kind() < 0 ? new Kind("", false, 1) : settings.kinds().get(entry.kind());
         if (kind.routesApart() || destination.lanes.isEmpty()) {
             final boolean few = settings.couriers() <= FEW_COURIERS;
-            destination.lanes.add(new Lane(kind, few ? WINDOW_START : WINDOW_RARE));
+            destination.lanes.add(new Lane(entry.destination(), kind, few ? WINDOW_START : WINDOW_RARE));
         }
         return destination.lanes.get(destination.lanes.size() - 1);
     }
@@ -1082,6 +1167,7 @@
 
     /** The unit of the window: a destination, or a route of it. */
     private static final class Lane {
+        private final long id;
         private final Kind kind;
         private final List<Node> nodes = new ArrayList<>();
         private final List<Call> calls = new ArrayList<>();
@@ -1109,8 +1195,12 @@
         /** Since when nothing was served there; never, while all is well. */
         private long troubleFromUs = NEVER;
         private long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs, lastServedUs;
+        /** The tier's word, since when it is out by that; the last failed call; the last permit used. */
+        private Standing heard = Standing.WELL;
+        private long heardFromUs = NEVER, badUs, permitUs;
 
-        private Lane(final Kind kind, final double window) {
+        private Lane(final long id, final Kind kind, final double window) {
+            this.id = id;
             this.kind = kind;
             this.window = window;
         }
--- a/src/main/java/driftchute/Courier.java
+++ b/src/main/java/driftchute/Courier.java
@@ -1,6 +1,7 @@
 package driftchute;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -127,6 +128,37 @@
         }
     }
 
+    /**
+     * This courier's part of a destination's limit: so many calls a second until that moment; from then on its even part
+     * of the reserve.
+     */
+    record Ration(double callsPerSecond, long untilUs) { }
+
+    /** What the couriers of the tier together hold of a destination. */
+    enum Standing { WELL, SUSPECTED, OUT, BACK }
+
+    /**
+     * A destination's standing: since when, and until when it is told to be shut (0: not told). It counts for nothing
+     * from {@code staleAtUs} on. {@code trialUntilUs}: until then one trial call is this courier's to make while it is out;
+     * {@code Long.MAX_VALUE}: nobody deals out trials, so that each courier makes its own.
+     */
+    record Verdict(Standing standing, long sinceUs, long shutUntilUs, long staleAtUs, long trialUntilUs) { }
+
+    /**
+     * What the couriers of the tier share, as this one knows it. {@code reserve}: the share of each limit that is never
+     * leased but split evenly over all couriers. Times are on the clock of the events.
+     */
+    record FleetView(double reserve, Map<Long, Ration> rations, Map<Long, Verdict> verdicts) { }
+
+    /**
+     * What this courier knows and wants of a destination, for the others: the limit it was told, calls a second (0:
+     * none), the calls a second that it makes and the calls that its waiting messages make; its phase by its own calls
+     * alone, how many of these failed since its trouble began and when that was ({@code Long.MAX_VALUE}: none), when one
+     * was last delivered (0: never), and until when it told to be shut.
+     */
+    record Report(long destination, double limit, double callsPerSecond, int waiting, Phase phase, int failed,
+                  long troubleFromUs, long servedUs, long shutUntilUs) { }
+
     /** What a courier may ask of its host. */
     interface Actions {
         /** Calls an endpoint with a message. */
@@ -187,6 +219,15 @@
     /** All endpoints that the operators have taken out: nothing new goes there. One that is no longer named is back. */
     void onBarred(long nowUs, Set<Long> endpoints);
 
+    /**
+     * What the couriers of the tier share is now this. Never called where they share nothing. It can lower what this
+     * courier sends, or end a verdict; nothing in it makes it bolder than the limit that it was told itself.
+     */
+    void onFleet(long nowUs, FleetView view);
+
+    /** What this courier knows and wants of each destination that it uses or that is not well, routes apart excepted. */
+    List<Report> reports(long nowUs);
+
     /** Nobody wants this message any more; it is owed no answer. */
     void onExpired(long nowUs, String messageId);
 
--- /dev/null
+++ b/src/main/java/driftchute/fleet/FleetBlock.java
@@ -0,0 +1,80 @@
+package driftchute.fleet;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+
+/**
+ * The {@code fleet} block of the configuration. Absent figures take their defaults; unknown names are an error, since a
+ * misspelt one would silently mean its default.
+ *
+ * @param epoch which numbering of {@code peers} this is; couriers of another do not understand each other. 0 to 2^31 - 1
+ * @param version version of this block, for what couriers with different blocks must agree on (lanes). 0 or more
+ * @param probeMs period of membership's probes, ms (default 1,000; 100 to 60,000)
+ * @param leaseMs how long a duty is held without renewal, ms (default 3,000; 300 to 60,000)
+ * @param rationMs how long a ration holds, ms (default 1,500; 200 to 60,000)
+ * @param reserve share of each limit that is never leased but split evenly, above 0 and at most 1 (default 0.2)
+ * @param driftPpm how far two monotonic clocks may run apart, millionths (default 1,000; 0 to 100,000)
+ * @param staleMs age beyond which a verdict counts for nothing, ms (default 10,000; 1,000 to 600,000)
+ * @param lanes priority lanes, the first the last to be shed (default none)
+ */
+public record FleetBlock(@JsonProperty("epoch") Integer epoch, @JsonProperty("version") Integer version,
+                         @JsonProperty("probe_ms") Integer probeMs, @JsonProperty("lease_ms") Integer leaseMs,
+                         @JsonProperty("ration_ms") Integer rationMs, @JsonProperty("reserve") Double reserve,
+                         @JsonProperty("drift_ppm") Integer driftPpm, @JsonProperty("stale_ms") Integer staleMs,
+                         @JsonProperty("lanes") List<LaneBlock> lanes) {
+    private static final int MOST_MS = 60_000;
+
+    /**
+     * One priority lane.
+     *
+     * @param name its name, not empty
+     * @param tenants tenants that it holds, by name (default none)
+     * @param classes classes that it holds, by name (default none)
+     * @param share guaranteed share of each destination's limit, 0 to 1 (default 0)
+     * @param quota messages a second that an account may send in it; 0 (the default): any number
+     * @param rest it takes all accounts that no lane names; without one the last lane does
+     */
+    public record LaneBlock(@JsonProperty("name") String name, @JsonProperty("tenants") List<String> tenants,
+                            @JsonProperty("classes") List<String> classes, @JsonProperty("share") Double share,
+                            @JsonProperty("quota") Double quota, @JsonProperty("rest") Boolean rest) {
+        /** @throws IllegalArgumentException for a figure out of its bounds */
+        public LaneBlock {
+            require(name != null && !name.isBlank(), "a lane has no name");
+            tenants = tenants == null ? List.of() : List.copyOf(tenants);
+            classes = classes == null ? List.of() : List.copyOf(classes);
+            share = share == null ? 0 : share;
+            quota = quota == null ? 0 : quota;
+            rest = rest != null && rest;
+            require(share >= 0 && share <= 1, "lane '" + name + "': 'share' is 0 to 1, not " + share);
+            require(quota >= 0 && quota < Double.POSITIVE_INFINITY,
+                    "lane '" + name + "': 'quota' is 0 or more, not " + quota);
+        }
+    }
+
+    /** @throws IllegalArgumentException for a figure out of its bounds, in one line that names it */
+    public FleetBlock {
+        epoch = bounded("epoch", epoch, 0, 0, Integer.MAX_VALUE);
+        version = bounded("version", version, 0, 0, Integer.MAX_VALUE);
+        probeMs = bounded("probe_ms", probeMs, 1000, 100, MOST_MS);
+        leaseMs = bounded("lease_ms", leaseMs, 3000, 300, MOST_MS);
+        rationMs = bounded("ration_ms", rationMs, 1500, 200, MOST_MS);
+        driftPpm = bounded("drift_ppm", driftPpm, 1000, 0, 100_000);
+        staleMs = bounded("stale_ms", staleMs, 10_000, 1000, 10 * MOST_MS);
+        reserve = reserve == null ? 0.2 : reserve;
+        require(reserve > 0 && reserve <= 1, "'reserve' is above 0 and at most 1, not " + reserve);
+        lanes = lanes == null ? List.of() : List.copyOf(lanes);
+    }
+
+    private static Integer bounded(final String name, final Integer value, final int absent, final int least,
+                                   final int most) {
+        final int number = value == null ? absent : value;
+        require(number >= least && number <= most, "'" + name + "' is " + least + " to " + most + ", not " + number);
+        return number;
+    }
+
+    private static void require(final boolean kept, final String problem) {
+        if (!kept) {
+            throw new IllegalArgumentException("fleet: " + problem);
+        }
+    }
+}
