Membership of a tier: SWIM with Lifeguard over the couriers' datagrams

Cause: the parts that share limits and verdicts need to know which couriers answer, and each courier knew of none.

--- /dev/null
+++ b/src/main/java/driftchute/fleet/membership/Members.java
@@ -0,0 +1,283 @@
+package driftchute.fleet.membership;
+
+import driftchute.fleet.Events;
+import driftchute.fleet.Message;
+import driftchute.fleet.Tier;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongConsumer;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+
+/**
+ * What this courier holds about each courier of the tier, by which words it changes, and what is still to be spread
+ * (docs/fleet-membership.md, Lies: what weighs more than what).
+ */
+final class Members {
+    /** How far a word about another, or about oneself, may be above what was heard first hand. */
+    static final long MOST_JUMP = 1L << 20;
+    /** Bytes of type and length before a message's body in a datagram. */
+    private static final int PREFIX = 2;
+
+    private final Tier tier;
+    private final Timing timing;
+    private final Events events;
+    private final LongConsumer keep;
+    private final LocalHealth health;
+    private final List<Member> members = new ArrayList<>();
+    private final Member self;
+    private final List<Member> spreading = new ArrayList<>();
+    private final Set<Member> suspects = new LinkedHashSet<>();
+    private long mayRaiseUs;
+    private long refused;
+
+    Members(final Tier tier, final Timing timing, final long incarnation, final long nowUs, final LocalHealth health,
+            final Events events, final LongConsumer keep) {
+        if (incarnation < 1 || incarnation >= Claim.MOST_INCARNATION) {
+            throw new IllegalArgumentException("no courier can start as incarnation " + incarnation);
+        }
+        this.tier = tier;
+        this.timing = timing;
+        this.events = events;
+        this.keep = keep;
+        this.health = health;
+        this.mayRaiseUs = nowUs;
+        for (int id = 0; id < tier.size(); id++) {
+            members.add(new Member(id));
+        }
+        self = members.get(tier.self());
+        keep.accept(incarnation);
+        changed(self, new Claim(State.ALIVE, incarnation), self.id);
+    }
+
+    Claim claim(final int id) {
+        return members.get(id).claim;
+    }
+
+    Messages.Rumour rumour(final int id) {
+        return members.get(id).rumour();
+    }
+
+    boolean isPresent(final int id) {
+        return members.get(id).isPresent();
+    }
+
+    boolean isSelf(final int id) {
+        return id == self.id;
+    }
+
+    long incarnation() {
+        return self.claim.incarnation();
+    }
+
+    boolean hasLeft() {
+        return self.claim.state() == State.LEFT;
+    }
+
+    /** Words that were refused as absurd. */
+    long refused() {
+        return refused;
+    }
+
+    /** Those that are suspect now, in the order in which they became so; the list is the caller's. */
+    List<Member> suspects() {
+        return List.copyOf(suspects);
+    }
+
+    /** The other couriers that pass. */
+    Stream<Member> others(final Predicate<Member> test) {
+        return members.stream().filter(member -> member != self && test.test(member));
+    }
+
+    /** A courier itself says of which incarnation it is. */
+    void spoken(final int id, final long incarnation) {
+        final Member member = members.get(id);
+        final Claim alive = new Claim(State.ALIVE, incarnation);
+        if (member.claim.incarnation() - incarnation > MOST_JUMP) {
+            refused++;
+            member.heard = incarnation;
+            changed(member, alive, id);
+            return;
+        }
+        member.heard = Math.max(member.heard, incarnation);
+        if (alive.compareTo(member.claim) > 0) {
+            changed(member, alive, id);
+        }
+    }
+
+    /**
+     * A courier says something about a courier.
+     *
+     * @param by on whose word it says so
+     * @return whether what is held here is newer, so that the one who said it should be told
+     */
+    boolean told(final long nowUs, final int id, final Claim claim, final int by) {
+        final Member member = members.get(id);
+        if (claim.state() == State.UNKNOWN) {
+            return false;
+        }
+        if (member == self) {
+            toldOfSelf(nowUs, claim, by);
+            return false;
+        }
+        if (member.heard >= 0 && claim.incarnation() - member.heard > MOST_JUMP) {
+            refused++;
+            return false;
+        }
+        final int order = claim.compareTo(member.claim);
+        if (order == 0 && member.suspicion != null) {
+            confirmed(member, by);
+        } else if (order > 0 && claim.state() == State.DEAD && member.isPresent()) {
+            suspected(nowUs, member, claim.incarnation(), by);
+            member.suspicion.certain();
+        } else if (order > 0 && claim.state() == State.SUSPECT) {
+            suspected(nowUs, member, claim.incarnation(), by);
+        } else if (order > 0) {
+            changed(member, claim, by);
+        }
+        return order < 0;
+    }
+
+    private void toldOfSelf(final long nowUs, final Claim claim, final int by) {
+        final boolean accused = claim.state() != State.ALIVE;
+        if (hasLeft() || claim.incarnation() < incarnation() || !accused && claim.incarnation() == incarnation()) {
+            return;
+        }
+        if (claim.incarnation() - incarnation() > MOST_JUMP || claim.incarnation() >= Claim.MOST_INCARNATION
+                || nowUs < mayRaiseUs) {
+            refused++;
+            return;
+        }
+        mayRaiseUs = nowUs + timing.gossipUs();
+        final long raised = claim.incarnation() + 1;
+        keep.accept(raised);
+        changed(self, new Claim(State.ALIVE, raised), self.id);
+        if (accused) {
+            health.worse();
+        }
+        events.event("self_refuted", "incarnation", raised, "held", claim.state().name(), "by", by);
+    }
+
+    /** A probe of this courier's was not answered. */
+    void accuse(final long nowUs, final int id) {
+        final Member member = members.get(id);
+        if (!member.isPresent()) {
+            return;
+        }
+        if (member.suspicion == null) {
+            suspected(nowUs, member, member.claim.incarnation(), self.id);
+        } else {
+            confirmed(member, self.id);
+        }
+        member.suspicion.askAt(nowUs);
+    }
+
+    /** Whether this courier itself accuses that suspect. */
+    boolean accuses(final Member suspect) {
+        return suspect.suspicion.isAccuser(self.id);
+    }
+
+    private void suspected(final long nowUs, final Member member, final long incarnation, final int by) {
+        final Claim suspect = new Claim(State.SUSPECT, incarnation);
+        if (!suspect.equals(member.claim)) {
+            changed(member, suspect, by);
+            member.suspicion = new Suspicion(timing, nowUs, by);
+            suspects.add(member);
+        }
+    }
+
+    private void confirmed(final Member member, final int by) {
+        if (member.suspicion.confirm(by)) {
+            member.by = by;
+            spread(member);
+        }
+    }
+
+    /** Those whose time to refute is over are dead. */
+    void bury(final long nowUs) {
+        for (final Member member : suspects()) {
+            if (member.suspicion.deadlineUs() <= nowUs) {
+                changed(member, new Claim(State.DEAD, member.claim.incarnation()), self.id);
+            }
+        }
+    }
+
+    /** This process stood still: nobody's time to refute counts so far. */
+    void doubt(final long nowUs) {
+        suspects.forEach(member -> member.suspicion.restart(nowUs));
+    }
+
+    /** When {@link #bury} or a question to a suspect is due, monotonic us. */
+    long dueUs() {
+        long due = Long.MAX_VALUE;
+        for (final Member member : suspects) {
+            due = Math.min(due, Math.min(member.suspicion.deadlineUs(), member.suspicion.askUs()));
+        }
+        return due;
+    }
+
+    /** This courier leaves: what it has to tell for it. The one who asks sends it, and it does not ride as well. */
+    Messages.Rumour leave() {
+        changed(self, new Claim(State.LEFT, incarnation()), self.id);
+        spreading.remove(self);
+        return self.rumour();
+    }
+
+    private void changed(final Member member, final Claim claim, final int by) {
+        final State before = member.claim.state();
+        member.claim = claim;
+        member.by = by;
+        member.suspicion = null;
+        suspects.remove(member);
+        spread(member);
+        // Who was not present before does not go: a courier that starts reports no deaths of long ago.
+        final boolean news = claim.state() != before && (before.isPresent() || claim.state().isPresent());
+        if (news && member != self) {
+            final String name = switch (claim.state()) {
+                case SUSPECT -> "member_suspected";
+                case DEAD -> "member_dead";
+                case LEFT -> "member_left";
+                default -> before == State.SUSPECT ? "member_cleared" : "member_joined";
+            };
+            events.event(name, "member", member.id, "incarnation", claim.incarnation(), "by", by);
+        }
+    }
+
+    private void spread(final Member member) {
+        member.sent = 0;
+        if (tier.size() > 1 && !spreading.contains(member)) {
+            spreading.add(member);
+        }
+    }
+
+    boolean isSpreading() {
+        return !spreading.isEmpty();
+    }
+
+    /** What is to be spread and fits into that many bytes, the least sent first. */
+    List<Message> rumours(final int peer, final int room) {
+        final List<Message> rumours = new ArrayList<>();
+        if (!isPresent(peer)) {
+            return rumours;
+        }
+        spreading.sort(Comparator.comparingInt(member -> member.sent));
+        int left = room;
+        for (final Member member : spreading) {
+            final Messages.Rumour rumour = member.rumour();
+            final int size = PREFIX + rumour.size();
+            if (member.id == peer) {
+                // Pings and acks tell it so already; it counts, since the two may be alone.
+                member.sent++;
+            } else if (size <= left) {
+                rumours.add(rumour);
+                left -= size;
+                member.sent++;
+            }
+        }
+        spreading.removeIf(member -> member.sent >= timing.sendings());
+        return rumours;
+    }
+}
