--- /dev/null
+++ b/src/main/java/driftchute/fleet/lease/Acceptor.java
@@ -0,0 +1,96 @@
+package driftchute.fleet.lease;
+
+/**
+ * An acceptor of one duty (PaxosLease; docs/fleet-leases.md). Its one rule for safety: locked by one process, it takes
+ * nothing of another until the lock has run out by its own clock or that process has released it. Promises only keep
+ * proposers from splitting the votes, and tokens in order. All times are its own monotonic clock, us.
+ */
+final class Acceptor {
+    /** A ballot until a moment. */
+    private record Timed(Ballot ballot, long untilUs) { }
+
+    private final Terms terms;
+    private Timed lock;
+    private Timed promise;
+    private Ballot released;
+    private long fence;
+
+    Acceptor(final Terms terms) {
+        this.terms = terms;
+    }
+
+    /** True if it is open to that ballot, which it has then promised. */
+    boolean prepare(final long nowUs, final Ballot ballot) {
+        if (ballot.token() <= fence || promised(nowUs) > ballot.token() || lockedUs(nowUs, ballot) > 0) {
+            return false;
+        }
+        promise = new Timed(ballot, nowUs + terms.promiseUs());
+        return true;
+    }
+
+    /** True if it is now locked to that ballot, which it had promised. */
+    boolean propose(final long nowUs, final Ballot ballot) {
+        final boolean kept = promised(nowUs) != 0 && promise.ballot().equals(ballot);
+        return kept && accept(nowUs, ballot);
+    }
+
+    /** True if it is now locked to the ballot of a process that holds. */
+    boolean renew(final long nowUs, final Ballot ballot) {
+        final boolean outdone = promised(nowUs) > ballot.token() && !promise.ballot().sameProcess(ballot);
+        return !outdone && accept(nowUs, ballot);
+    }
+
+    private boolean accept(final long nowUs, final Ballot ballot) {
+        if (ballot.token() < fence || covers(released, ballot) || lockedUs(nowUs, ballot) > 0) {
+            return false;
+        }
+        lock = new Timed(ballot, nowUs + terms.leaseUs());
+        fence = ballot.token();
+        return true;
+    }
+
+    /** A process has told that it holds by this ballot and those before no longer. True if this ends a lock. */
+    boolean release(final Ballot last) {
+        if (released == null || !released.sameProcess(last) || released.token() < last.token()) {
+            released = last;
+        }
+        if (promise != null && covers(last, promise.ballot())) {
+            promise = null;
+        }
+        final boolean ends = lock != null && covers(last, lock.ballot());
+        if (ends) {
+            lock = null;
+        }
+        return ends;
+    }
+
+    private static boolean covers(final Ballot last, final Ballot ballot) {
+        return last != null && last.sameProcess(ballot) && ballot.token() <= last.token();
+    }
+
+    /** The ballot that it is locked to, or null. */
+    Ballot locked(final long nowUs) {
+        return lock != null && nowUs < lock.untilUs() ? lock.ballot() : null;
+    }
+
+    /** How long it is still locked by another process than that ballot's, us; 0 if it is not. */
+    long lockedUs(final long nowUs, final Ballot ballot) {
+        final Ballot by = locked(nowUs);
+        return by == null || by.sameProcess(ballot) ? 0 : lock.untilUs() - nowUs;
+    }
+
+    /** The token of the promise in force, or 0. */
+    long promised(final long nowUs) {
+        return promise != null && nowUs < promise.untilUs() ? promise.ballot().token() : 0;
+    }
+
+    /** The highest token that it has accepted or that its courier has held. */
+    long fence() {
+        return fence;
+    }
+
+    /** Its courier holds by this token. */
+    void held(final long token) {
+        fence = Math.max(fence, token);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lease/Answer.java
@@ -0,0 +1,47 @@
+package driftchute.fleet.lease;
+
+import driftchute.fleet.MalformedMessageException;
+import driftchute.fleet.Message;
+import driftchute.fleet.Varint;
+import java.nio.ByteBuffer;
+
+/**
+ * An acceptor's yes to one question.
+ *
+ * @param type one of the constants
+ * @param duty the duty's number
+ * @param life the process that asked
+ * @param serial number of its question
+ */
+record Answer(int type, int duty, int life, long serial) implements Message {
+    /** To a prepare: open, and promised. */
+    static final int OPEN = 0x24;
+    /** To a propose or renew: accepted. */
+    static final int ACCEPTED = 0x25;
+    /** Duties that a tier may have: a number of one byte. */
+    static final int MOST_DUTIES = 128;
+
+    @Override
+    public int size() {
+        return Varint.size(duty) + Integer.BYTES + Varint.size(serial);
+    }
+
+    @Override
+    public void write(final ByteBuffer into) {
+        Varint.put(into, duty);
+        into.putInt(life);
+        Varint.put(into, serial);
+    }
+
+    static Message read(final int type, final ByteBuffer body) throws MalformedMessageException {
+        return new Answer(type, dutyIn(body), body.getInt(), Varint.get(body));
+    }
+
+    static int dutyIn(final ByteBuffer body) throws MalformedMessageException {
+        final long duty = Varint.get(body);
+        if (duty >= MOST_DUTIES) {
+            throw new MalformedMessageException("no duty has the number " + duty);
+        }
+        return (int) duty;
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lease/Poll.java
@@ -0,0 +1,116 @@
+package driftchute.fleet.lease;
+
+import driftchute.fleet.Moment;
+import driftchute.fleet.Outbox;
+import java.util.Arrays;
+import java.util.BitSet;
+
+/** One question to all acceptors, asked again of those that stay silent, and what they answered. */
+final class Poll {
+    /** Sendings after which a question that a majority has agreed to is left: the rest may be dead, and costs bytes. */
+    private static final int ENOUGH = 3;
+    private static final long US_PER_MS = 1000;
+
+    private final Seat seat;
+    private final Request request;
+    private final Ballot ballot;
+    private final long sinceUs;
+    private final BitSet agreed = new BitSet();
+    private final BitSet refused = new BitSet();
+    private final long[] lockedUs;
+    private int sendings;
+    private long nextUs;
+
+    Poll(final Seat seat, final Request request, final long nowUs) {
+        this.seat = seat;
+        this.request = request;
+        this.ballot = new Ballot(seat.tier().self(), seat.life(), request.round());
+        this.sinceUs = nowUs;
+        this.nextUs = nowUs;
+        this.lockedUs = new long[seat.tier().size()];
+    }
+
+    /** Asks whoever has not answered, if it is time. */
+    void tick(final Moment now, final Outbox out) {
+        if (now.monoUs() < nextUs) {
+            return;
+        }
+        if (sendings >= ENOUGH && won()) {
+            nextUs = Long.MAX_VALUE;
+            return;
+        }
+        for (int peer = 0; peer < lockedUs.length; peer++) {
+            if (!agreed.get(peer) && !refused.get(peer)) {
+                out.send(peer, request);
+            }
+        }
+        sendings++;
+        nextUs = now.monoUs() + seat.terms().againUs();
+    }
+
+    /** True if that courier's answer to it came for the first time. */
+    boolean agree(final int from) {
+        final boolean first = !agreed.get(from) && !refused.get(from);
+        if (first) {
+            agreed.set(from);
+        }
+        return first;
+    }
+
+    /** True if that courier's refusal came for the first time. A lock longer than a lease is a lie. */
+    boolean refuse(final int from, final long lockedMs) {
+        final boolean first = !agreed.get(from) && !refused.get(from);
+        if (first) {
+            refused.set(from);
+            lockedUs[from] = Math.min(lockedMs, seat.terms().leaseMs()) * US_PER_MS;
+        }
+        return first;
+    }
+
+    boolean won() {
+        return agreed.cardinality() >= seat.tier().majority();
+    }
+
+    /** True if too many have refused. */
+    boolean lost() {
+        return lockedUs.length - refused.cardinality() < seat.tier().majority();
+    }
+
+    /** How long, from the answers, until a majority is not locked by another, us; 0 if that may be now. */
+    long majorityLockedUs() {
+        final long[] sorted = lockedUs.clone();
+        Arrays.sort(sorted);
+        return sorted[seat.tier().majority() - 1];
+    }
+
+    /** True if a yes of that type is one to it. */
+    boolean takes(final Answer answer) {
+        return request.serial() == answer.serial() && prepares() == (answer.type() == Answer.OPEN);
+    }
+
+    boolean takes(final Refusal refusal) {
+        return request.serial() == refusal.serial();
+    }
+
+    boolean prepares() {
+        return request.type() == Request.PREPARE;
+    }
+
+    Ballot ballot() {
+        return ballot;
+    }
+
+    /** When it was first asked. */
+    long sinceUs() {
+        return sinceUs;
+    }
+
+    /** When it asks again. */
+    long nextUs() {
+        return nextUs;
+    }
+
+    int sendings() {
+        return sendings;
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lease/Refusal.java
@@ -0,0 +1,42 @@
+package driftchute.fleet.lease;
+
+import driftchute.fleet.MalformedMessageException;
+import driftchute.fleet.Message;
+import driftchute.fleet.Varint;
+import java.nio.ByteBuffer;
+
+/**
+ * An acceptor's no to one question.
+ *
+ * @param duty the duty's number
+ * @param life the process that asked
+ * @param serial number of its question
+ * @param token the highest token that stands in the way, 0 if none
+ * @param lockedMs how long the acceptor is locked by another, ms; 0 if it is not
+ */
+record Refusal(int duty, int life, long serial, long token, long lockedMs) implements Message {
+    static final int REFUSED = 0x26;
+
+    @Override
+    public int type() {
+        return REFUSED;
+    }
+
+    @Override
+    public int size() {
+        return Varint.size(duty) + Integer.BYTES + Varint.size(serial) + Varint.size(token) + Varint.size(lockedMs);
+    }
+
+    @Override
+    public void write(final ByteBuffer into) {
+        Varint.put(into, duty);
+        into.putInt(life);
+        Varint.put(into, serial);
+        Varint.put(into, token);
+        Varint.put(into, lockedMs);
+    }
+
+    static Message read(final ByteBuffer body) throws MalformedMessageException {
+        return new Refusal(Answer.dutyIn(body), body.getInt(), Varint.get(body), Varint.get(body), Varint.get(body));
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lease/Seat.java
@@ -0,0 +1,48 @@
+package driftchute.fleet.lease;
+
+import driftchute.fleet.Tier;
+import java.util.SplittableRandom;
+
+/**
+ * This process's place at one duty.
+ *
+ * @param number the duty's number
+ * @param duty the duty's name
+ * @param rank its courier's place among all for this duty, 0 the first to try
+ * @param life random number of this process
+ */
+record Seat(Tier tier, Terms terms, int number, String duty, int rank, int life) {
+    /** Ranks that each have a moment of their own; all behind try at random moments after them. */
+    private static final int OWN_MOMENT = 16;
+    /** Those behind spread over this part of a lease. */
+    private static final int REST_PART = 4;
+
+    static Seat at(final Tier tier, final Terms terms, final int number, final String duty, final int life) {
+        final long own = score(duty, tier.self());
+        int rank = 0;
+        for (int courier = 0; courier < tier.size(); courier++) {
+            final long other = score(duty, courier);
+            if (other > own || other == own && courier < tier.self()) {
+                rank++;
+            }
+        }
+        return new Seat(tier, terms, number, duty, rank, life);
+    }
+
+    /** Rendezvous hashing (Thaler, Ravishankar 1998), mixed as in SplitMix64 (Steele, Lea, Flood 2014). */
+    private static long score(final String duty, final int courier) {
+        long mixed = ((long) duty.hashCode() << Integer.SIZE | courier) + 0x9E3779B97F4A7C15L;
+        mixed = (mixed ^ mixed >>> 30) * 0xBF58476D1CE4E5B9L;
+        mixed = (mixed ^ mixed >>> 27) * 0x94D049BB133111EBL;
+        return mixed ^ mixed >>> 31;
+    }
+
+    /** How long after a duty may have become free this courier tries, us: it grows with the rank, in part by chance. */
+    long delayUs(final SplittableRandom random) {
+        if (tier.size() == 1) {
+            return 0;
+        }
+        return rank < OWN_MOMENT ? rank * terms.stepUs() + random.nextLong(terms.stepUs())
+                : OWN_MOMENT * terms.stepUs() + random.nextLong(terms.leaseUs() / REST_PART);
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/fleet/lease/LeasesTest.java
@@ -0,0 +1,174 @@
+package driftchute.fleet.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+import driftchute.fleet.Events;
+import driftchute.fleet.Message;
+import driftchute.fleet.Moment;
+import driftchute.fleet.Tier;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.HdrHistogram.Histogram;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Duties on a virtual clock and network: seeded schedules with faults, measured takeovers, bytes, lies. */
+class LeasesTest {
+    private static final long LEASE_US = LeaseNet.LEASE_US;
+    private static final int PPM = 1000;
+    private static final int MOST_PPM = 100_000;
+    private static final int SCHEDULES = 1500;
+
+    /** Faults for ten leases, then none for twelve. */
+    private static LeaseNet played(final int seed, final Terms terms, final int ppm, final long skewMs) {
+        final LeaseNet net = new LeaseNet(3 + seed % 5, terms, ppm / 1e6, skewMs, seed);
+        final long untilUs = net.nowUs + 10 * LEASE_US;
+        while (net.nowUs < untilUs) {
+            net.runFor(net.random.nextLong(LEASE_US / 2));
+            net.strike();
+        }
+        net.calm();
+        net.runFor(12 * LEASE_US);
+        return net;
+    }
+
+    @Test
+    void neverTwoHoldersTokensGrowAndEveryDutyIsHeldOnceFaultsEnd() {
+        final int[] drifts = {0, PPM, 20 * PPM, MOST_PPM};
+        long holdings = 0;
+        for (int seed = 0; seed < SCHEDULES; seed++) {
+            final int ppm = drifts[seed % drifts.length];
+            final LeaseNet net = played(seed, Terms.of(LEASE_US, ppm), ppm, 20);
+            assertThat(net.broken).as("seed " + seed).isEmpty();
+            for (int duty = 0; duty < LeaseNet.DUTIES.size(); duty++) {
+                final int number = duty;
+                assertThat(net.nodes).as("seed " + seed).filteredOn(node -> node.holds(number)).hasSize(1);
+            }
+            holdings += net.holdings;
+        }
+        System.out.println("leases: " + SCHEDULES + " schedules, " + holdings + " holdings");
+        assertThat(holdings).isGreaterThan(5L * SCHEDULES);
+    }
+
+    @Test
+    void wallClocksThatAreDaysApartMakeNoSecondHolder() {
+        for (int seed = 0; seed < SCHEDULES / 3; seed++) {
+            final LeaseNet net = played(seed, Terms.of(LEASE_US, MOST_PPM), MOST_PPM, 200_000_000);
+            assertThat(net.broken).as("seed " + seed).noneMatch(problem -> problem.startsWith("two"));
+            assertThat(net.nodes).as("seed " + seed).anyMatch(node -> node.holds(0)).anyMatch(node -> node.holds(1));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"margin", "wait"})
+    void theCheckerNoticesAMissingMarginAndAMissingWait(final String missing) {
+        final Terms right = Terms.of(LEASE_US, MOST_PPM);
+        final Terms wrong = "margin".equals(missing) ? new Terms(LEASE_US, LEASE_US, right.waitUs())
+                : new Terms(LEASE_US, right.holderUs(), 0);
+        final long caught = IntStream.range(0, SCHEDULES / 3).mapToObj(seed -> played(seed, wrong, MOST_PPM, 20).broken)
+                .filter(broken -> broken.stream().anyMatch(problem -> problem.startsWith("two"))).count();
+        System.out.println("leases: no " + missing + ": two holders in " + caught + " of " + SCHEDULES / 3);
+        assertThat(caught).isPositive();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"3, 0", "3, 0.2", "10, 0", "10, 0.2", "30, 0", "30, 0.2"})
+    void aKilledHoldersDutyIsTakenWithinTwoLeases(final int size, final double loss) {
+        final LeaseNet net = new LeaseNet(size, Terms.of(LEASE_US, PPM), PPM / 1e6, 20, size);
+        net.loss = loss;
+        net.runFor(4 * LEASE_US);
+        final Histogram ms = new Histogram(3);
+        for (int kill = 0; kill < 300; kill++) {
+            final LeaseNet.Node dead = net.nodes.stream().filter(node -> node.holds(0)).findFirst().orElseThrow();
+            dead.up = false;
+            final long killedUs = net.nowUs;
+            while (net.nodes.stream().noneMatch(node -> node.holds(0)) && net.nowUs < killedUs + 9 * LEASE_US) {
+                net.step();
+            }
+            ms.recordValue((net.nowUs - killedUs) / 1000);
+            dead.start();
+            net.runFor(2 * LEASE_US + net.random.nextLong(LEASE_US));
+            while (net.nodes.stream().noneMatch(node -> node.holds(0))) {
+                net.step();
+            }
+        }
+        System.out.printf("leases: takeover, lease 3000 ms, %d couriers, loss %.1f: p50 %d, p99 %d, max %d ms%n", size,
+                loss, ms.getValueAtPercentile(50), ms.getValueAtPercentile(99), ms.getMaxValue());
+        assertThat(ms.getValueAtPercentile(99)).isLessThan(2 * LEASE_US / 1000);
+        assertThat(net.broken).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"10", "30", "100"})
+    void anIdleTierSpendsLittle(final int size) {
+        final LeaseNet net = new LeaseNet(size, Terms.of(LEASE_US, PPM), PPM / 1e6, 20, size);
+        net.runFor(4 * LEASE_US);
+        final int before = net.holdings;
+        final long bytes = net.bytes;
+        final long seconds = 120;
+        net.runFor(seconds * 1_000_000);
+        final double mean = (double) (net.bytes - bytes) / seconds / size;
+        System.out.printf("leases: idle, %d couriers, 2 duties, lease 3000 ms: %.1f B/s a courier%n", size, mean);
+        assertThat(mean).isLessThan(60);
+        assertThat(net.holdings).as("a calm tier keeps its holders").isEqualTo(before);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1", "2", "4"})
+    void aReleasedDutyIsTakenAtOnceAndTheOldTokenIsRefused(final int size) {
+        final LeaseNet net = new LeaseNet(size, Terms.of(LEASE_US, PPM), 0, 0, 1);
+        net.runFor(LEASE_US * 7 / 4);
+        final LeaseNet.Node holder = net.nodes.stream().filter(node -> node.holds(0)).findFirst().orElseThrow();
+        final long old = holder.leases.held(holder.now(), 0).getAsLong();
+        assertThat(net.nodes).allMatch(node -> node.leases.holder(node.now(), 0)
+                .equals(Optional.of(new Holding(holder.number, old))));
+        holder.run(() -> holder.leases.release(holder.now(), holder.plane.outbox()));
+        assertThat(holder.holds(0)).isFalse();
+        net.runFor(LEASE_US / 2);
+        assertThat(net.nodes.stream().filter(node -> node.holds(0)).count()).isEqualTo(size == 1 ? 0 : 1);
+        assertThat(net.nodes).allMatch(node -> node.leases.accepts(0, old) == (size == 1));
+        assertThat(net.nodes).allMatch(node -> node.leases.refusedActs() == (size == 1 ? 0 : 1));
+    }
+
+    /** Whatever figures a peer sends, nothing throws, and once it is silent the duties are held by honest rounds. */
+    @Test
+    void liesDoNotCrashNorUseTheRoundsUp() throws Exception {
+        final LeaseNet net = new LeaseNet(3, Terms.of(LEASE_US, PPM), 0, 0, 7);
+        final SplittableRandom random = new SplittableRandom(7);
+        for (int lie = 0; lie < 50_000; lie++) {
+            final LeaseNet.Node to = net.nodes.get(random.nextInt(2));
+            final int type = Request.PREPARE + random.nextInt(7);
+            final long round = random.nextLong() >>> 1 + random.nextInt(60);
+            final int duty = random.nextInt(3);
+            final Message message = type == Refusal.REFUSED ? new Refusal(duty, 1, 1, round, round)
+                    : type > Request.RELEASE ? new Answer(type, duty, 1, round)
+                    : new Request(type, duty, 1, random.nextInt(9), round, random.nextInt(4000));
+            final ByteBuffer body = ByteBuffer.allocate(message.size());
+            message.write(body);
+            assertThat(body.hasRemaining()).isFalse();
+            final Message read = to.leases.readers().get(type).read(body.flip());
+            assertThat(read).isEqualTo(message);
+            to.run(() -> to.leases.receive(to.now(), 2, read, to.plane.outbox()));
+            net.runFor(random.nextLong(2000));
+        }
+        net.runFor(4 * LEASE_US);
+        assertThat(net.nodes).anyMatch(node -> node.holds(0)).anyMatch(node -> node.holds(1));
+        assertThat(net.broken).isEmpty();
+        assertThat(net.nodes.get(0).leases.ignored()).isPositive();
+    }
+
+    @Test
+    void badFiguresAreRefused() {
+        final Moment start = new Moment(0, 0);
+        final Tier tier = new Tier(0, 1, 1);
+        assertThatIllegalArgumentException().isThrownBy(() ->
+                new Leases(tier, List.of(), LEASE_US, PPM, 1, start, Events.NONE));
+        assertThatIllegalArgumentException().isThrownBy(() -> Terms.of(-1, PPM));
+        assertThatIllegalArgumentException().isThrownBy(() -> Terms.of(LEASE_US, MOST_PPM + 1));
+    }
+}
