Rations: leased shares of each limit that never sum over it

A courier took an even part of a destination's limit, so that a crowd at one left limit unused at the rest. Package driftchute.fleet.ration: couriers send wants, the holder of the duty answers with leased shares by max-min fairness on demand; a part of each limit is never leased. Shares end by the courier's clock from when it sent the want, and count as out at the allocator from when the want came; a new holder waits out one ration time.

--- /dev/null
+++ b/src/main/java/driftchute/fleet/ration/Grant.java
@@ -0,0 +1,52 @@
+package driftchute.fleet.ration;
+
+import driftchute.fleet.MalformedMessageException;
+import driftchute.fleet.Message;
+import driftchute.fleet.Varint;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The allocator's answer to the want of that sequence number, under its token: shares that hold for so many ms from
+ * when that want was sent, by its sender's clock and less the drift.
+ */
+record Grant(long seq, long token, int rationMs, List<Portion> portions) implements Message {
+    static final int TYPE = 0x31;
+
+    /** A share of a destination's limit, and the limit on which it was reckoned, calls a second. */
+    record Portion(long destination, int share, float limit) { }
+
+    @Override
+    public int type() {
+        return TYPE;
+    }
+
+    @Override
+    public int size() {
+        return Varint.size(seq) + Varint.size(token) + Varint.size(rationMs) + portions.stream()
+                .mapToInt(portion -> Varint.size(portion.destination()) + Short.BYTES + Float.BYTES).sum();
+    }
+
+    @Override
+    public void write(final ByteBuffer into) {
+        Varint.put(into, seq);
+        Varint.put(into, token);
+        Varint.put(into, rationMs);
+        for (final Portion portion : portions) {
+            Varint.put(into, portion.destination());
+            into.putShort((short) portion.share()).putFloat(portion.limit());
+        }
+    }
+
+    static Grant read(final ByteBuffer body) throws MalformedMessageException {
+        final long seq = Varint.get(body);
+        final long token = Varint.get(body);
+        final int rationMs = Want.time(body);
+        final List<Portion> portions = new ArrayList<>();
+        while (body.hasRemaining()) {
+            portions.add(new Portion(Varint.get(body), body.getShort() & Shares.WHOLE, Want.rate(body)));
+        }
+        return new Grant(seq, token, rationMs, portions);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/ration/Rations.java
@@ -0,0 +1,251 @@
+package driftchute.fleet.ration;
+
+import driftchute.Courier;
+import driftchute.fleet.Duty;
+import driftchute.fleet.Events;
+import driftchute.fleet.FleetBlock;
+import driftchute.fleet.Message;
+import driftchute.fleet.Moment;
+import driftchute.fleet.Outbox;
+import driftchute.fleet.Part;
+import driftchute.fleet.Tier;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Limits of the whole fleet (docs/fleet-rations.md). It asks the allocator for a share of each limit that this courier
+ * could use beyond its part of the reserve, and is the allocator while it holds that duty.
+ *
+ * <p>The moment given with a message must have been read after the message was taken from the socket: the proof that an
+ * old allocator's grants end in time rests on it.
+ */
+public final class Rations implements Part {
+    /** Destinations that are kept; what is used beyond that has its part of the reserve. */
+    static final int MOST_DESTINATIONS = Allocator.MOST_DESTINATIONS;
+    /** Wants in a ration time: two in a row may be lost before a share runs out. */
+    private static final int WANTS = 3;
+    /** Wants in a ration time while no share lives: a lost one, or an allocator that is gone, costs less time. */
+    private static final int LONE_WANTS = 6;
+    /** A ration time has so many least spans between wants, for destinations newly used. */
+    private static final int EAGER = 15;
+    /** Wants that are remembered: those of the last ration time, also where each destination has its own. */
+    private static final int MOST_SENT = 256;
+    /** A destination that was not used for so long is forgotten, us. */
+    private static final long FORGET_US = 60_000_000;
+    /** How often it looks while a share lives, us: a raise takes effect a call's time after the grant. */
+    private static final long LOOK_US = 50_000;
+    /** Least time between two lines about refused grants, us. */
+    private static final long LINE_US = 1_000_000;
+    /** Wants are early or late by up to a tenth, so that couriers do not stay in step. */
+    private static final double JITTER = 0.1;
+    /** Sequences start at the wall clock's ms, with as many random bits below it. */
+    private static final int CHANCE_BITS = 10;
+    /** A wall clock beyond the year 10000 would make sequences of more than 63 bits. */
+    private static final long MOST_WALL_MS = (1L << 48) - 1;
+    private static final double MILLION = 1_000_000;
+
+    private record Sent(long atUs, Duty.Holding to) { }
+
+    private final Duty duty;
+    private final Events events;
+    private final Random random;
+    private final Allocator allocator;
+    private final int rationMs;
+    private final long rationUs;
+    private final double reserve;
+    private final double reservePart;
+    private final double driftPart;
+    private final Map<Long, Allotment> allotments = new LinkedHashMap<>();
+    private final Set<Long> asked = new HashSet<>();
+    private final LinkedHashMap<Long, Sent> sent = new LinkedHashMap<>();
+    private Optional<Duty.Holding> holder = Optional.empty();
+    private long seq = -1;
+    private long lastWantUs = Long.MIN_VALUE / 2;
+    private long nextWantUs = Long.MIN_VALUE / 2;
+    private long refused;
+    private long lineUs = Long.MIN_VALUE / 2;
+
+    /**
+     * The rations of one courier.
+     *
+     * @param seed of its chance, another one for each process
+     */
+    public Rations(final Tier tier, final FleetBlock block, final Duty duty, final long seed, final Events events) {
+        this(tier, block, duty, seed, events, new Allocator(tier.size(), block));
+    }
+
+    Rations(final Tier tier, final FleetBlock block, final Duty duty, final long seed, final Events events,
+            final Allocator allocator) {
+        this.duty = duty;
+        this.events = events;
+        this.random = new Random(seed);
+        this.allocator = allocator;
+        this.rationMs = block.rationMs();
+        this.rationUs = rationMs * 1000L;
+        this.reserve = block.reserve();
+        this.reservePart = block.reserve() / tier.size();
+        this.driftPart = block.driftPpm() / MILLION;
+    }
+
+    @Override
+    public Map<Integer, Message.Reader> readers() {
+        return Map.of(Want.TYPE, Want::read, Grant.TYPE, Grant::read);
+    }
+
+    /**
+     * What the traffic knows and wants of each destination that it uses; about every 100 ms. Figures that are absurd
+     * count as none; destinations that are not named are not used.
+     */
+    public void reports(final Moment now, final List<Courier.Report> reports) {
+        final long nowUs = now.monoUs();
+        final Set<Long> used = new HashSet<>();
+        for (final Courier.Report report : reports) {
+            final long destination = report.destination();
+            if (destination < 0 || allotments.size() >= MOST_DESTINATIONS && !allotments.containsKey(destination)) {
+                continue;
+            }
+            used.add(destination);
+            allotments.computeIfAbsent(destination, unused ->
+                    new Allotment(nowUs, reservePart, rationUs, rationUs / 2)).report(nowUs,
+                    sane(report.limit()), sane(report.callsPerSecond()), Math.max(0, report.waiting()));
+        }
+        allotments.forEach((destination, allotment) -> {
+            if (!used.contains(destination)) {
+                allotment.idle(nowUs);
+            }
+        });
+        allotments.values().removeIf(allotment -> allotment.usedUs() < nowUs - FORGET_US && !allotment.live(nowUs));
+    }
+
+    private static double sane(final double figure) {
+        return figure > 0 && figure <= Want.MOST_RATE ? figure : 0;
+    }
+
+    /** What this courier may send, reserve part included, until when (monotonic us); none where none is leased. */
+    public Map<Long, Courier.Ration> rations(final Moment now) {
+        final Map<Long, Courier.Ration> rations = new LinkedHashMap<>();
+        allotments.forEach((destination, allotment) -> {
+            final Courier.Ration ration = allotment.ration(now.monoUs());
+            if (ration != null) {
+                rations.put(destination, ration);
+            }
+        });
+        return rations;
+    }
+
+    @Override
+    public void receive(final Moment now, final int from, final Message message, final Outbox out) {
+        if (message instanceof Grant grant) {
+            accept(now, from, grant);
+        } else if (message instanceof Want want && holds(now)) {
+            allocator.want(now.monoUs(), from, want, out::send);
+        }
+    }
+
+    /** Whether this courier is the allocator at this moment; asked right before each grant. */
+    private boolean holds(final Moment now) {
+        final OptionalLong held = duty.held(now);
+        if (allocator.term(now.monoUs(), held)) {
+            held.ifPresentOrElse(token -> events.event("allocator", "state", "waits", "token", token, "wait_ms",
+                    (allocator.readyUs() - now.monoUs()) / 1000), () -> events.event("allocator", "state", "ended"));
+        }
+        return held.isPresent();
+    }
+
+    private void accept(final Moment now, final int from, final Grant grant) {
+        final Sent want = sent.get(grant.seq());
+        if (want == null || want.to().courier() != from) {
+            return;
+        }
+        if (grant.token() < want.to().token() || !duty.accepts(grant.token())) {
+            refused++;
+            if (now.monoUs() >= lineUs) {
+                lineUs = now.monoUs() + LINE_US;
+                events.event("grants_refused", "courier", from, "token", grant.token(), "refused", refused);
+            }
+            return;
+        }
+        final long spanUs = Math.min(rationUs, grant.rationMs() * 1000L);
+        final long untilUs = want.atUs() + (long) (spanUs * (1 - driftPart));
+        for (final Grant.Portion portion : grant.portions()) {
+            final Allotment allotment = allotments.get(portion.destination());
+            if (allotment != null) {
+                final int share = Math.min(portion.share(), Shares.WHOLE - Shares.atLeast(reserve));
+                allotment.grant(now.monoUs(), share, portion.limit(), untilUs);
+            }
+        }
+    }
+
+    @Override
+    public long tick(final Moment now, final Outbox out) {
+        final long nowUs = now.monoUs();
+        if (holds(now)) {
+            allocator.again(nowUs, out::send);
+        }
+        final List<Want.Ask> asks = asks(nowUs);
+        final Optional<Duty.Holding> known = duty.holder(now);
+        final boolean eager = !known.equals(holder)
+                || asks.stream().anyMatch(ask -> !asked.contains(ask.destination()));
+        if (known.isPresent() && !asks.isEmpty() && nowUs >= (eager ? lastWantUs + rationUs / EAGER : nextWantUs)) {
+            holder = known;
+            ask(now, known.get(), asks, out);
+        }
+        final boolean looks = !asks.isEmpty() || allotments.values().stream().anyMatch(each -> each.live(nowUs));
+        return Math.min(allocator.nextUs(nowUs), nowUs + (looks ? LOOK_US : rationUs / WANTS));
+    }
+
+    /** What to ask for: all that is wanted, and once more what is not wanted any longer. */
+    private List<Want.Ask> asks(final long nowUs) {
+        final List<Want.Ask> asks = new ArrayList<>();
+        allotments.forEach((destination, allotment) -> {
+            final double wanted = allotment.wanted(nowUs);
+            if (wanted > 0 || asked.contains(destination)) {
+                asks.add(new Want.Ask(destination, (float) allotment.limit(), (float) wanted));
+            }
+        });
+        return asks;
+    }
+
+    private void ask(final Moment now, final Duty.Holding to, final List<Want.Ask> asks, final Outbox out) {
+        final long nowUs = now.monoUs();
+        lastWantUs = nowUs;
+        final int wants = allotments.values().stream().anyMatch(each -> each.live(nowUs)) ? WANTS : LONE_WANTS;
+        nextWantUs = nowUs + (long) (rationUs / wants * (1 + JITTER * (2 * random.nextDouble() - 1)));
+        asked.clear();
+        sent.values().removeIf(old -> old.atUs() <= nowUs - rationUs);
+        if (seq < 0) {
+            seq = (now.wallMs() & MOST_WALL_MS) << CHANCE_BITS | random.nextInt(1 << CHANCE_BITS);
+        }
+        List<Want.Ask> part = new ArrayList<>();
+        int room = Want.MOST_ASKS;
+        for (final Want.Ask ask : asks) {
+            if (ask.size() > room) {
+                send(nowUs, to, part, out);
+                part = new ArrayList<>();
+                room = Want.MOST_ASKS;
+            }
+            part.add(ask);
+            room -= ask.size();
+            if (ask.demand() > 0) {
+                asked.add(ask.destination());
+            }
+        }
+        send(nowUs, to, part, out);
+    }
+
+    private void send(final long nowUs, final Duty.Holding to, final List<Want.Ask> asks, final Outbox out) {
+        seq++;
+        sent.put(seq, new Sent(nowUs, to));
+        if (sent.size() > MOST_SENT) {
+            sent.remove(sent.keySet().iterator().next());
+        }
+        out.send(to.courier(), new Want(seq, rationMs, Shares.atLeast(reserve), asks));
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/fleet/ration/FleetSim.java
@@ -0,0 +1,209 @@
+package driftchute.fleet.ration;
+
+import driftchute.Courier;
+import driftchute.fleet.Duty;
+import driftchute.fleet.Events;
+import driftchute.fleet.FleetBlock;
+import driftchute.fleet.Moment;
+import driftchute.fleet.Plane;
+import driftchute.fleet.Tier;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+
+/**
+ * A fleet on a virtual clock and network: couriers with clocks of their own, a duty that one at most holds, and traffic
+ * that paces its calls by the ration then valid. Times are true us unless they are named mono.
+ */
+final class FleetSim {
+    static final long MS = 1000;
+    static final long SECOND = 1_000_000;
+    static final FleetBlock BLOCK = new FleetBlock(1, 1, null, null, null, null, null, null, null);
+    private static final long STEP = 5 * MS;
+    private static final int CROWD = 1000;
+
+    /** The duty's holder from one moment to another. */
+    record Term(int holder, long token, long fromUs, long toUs) { }
+
+    /** One courier: its control plane, and for each destination the traffic's state. */
+    final class Node implements Duty {
+        final int id;
+        final double[] arrivals = new double[destinations], waiting = new double[destinations];
+        final double[] told = new double[destinations];
+        final long[] lastUs = new long[destinations];
+        final List<List<Long>> calls = new ArrayList<>();
+        double speed = 1;
+        long originUs, upUs, awakeUs, stallUs, lagUs, bytes;
+        Rations rations;
+        Plane plane;
+        private Map<Long, Courier.Ration> view = Map.of();
+
+        Node(final int id) {
+            this.id = id;
+            Arrays.fill(told, limitAt(0));
+            IntStream.range(0, destinations).forEach(unused -> calls.add(new ArrayList<>()));
+        }
+
+        void start(final long downUs) {
+            upUs = awakeUs = nowUs + downUs;
+            originUs = random.nextLong(1L << 40) - (1L << 39);
+            view = Map.of();
+            Arrays.fill(lastUs, upUs);
+            final Tier tier = new Tier(id, nodes.length, 1);
+            rations = new Rations(tier, BLOCK, this, random.nextLong(), Events.NONE, allocators.get());
+            plane = new Plane(tier, List.of(rations), (to, datagram) -> post(this, nodes[to], datagram));
+        }
+
+        Moment moment(final long atUs) {
+            return new Moment(originUs + (long) (atUs * speed), 1_800_000_000_000L + atUs / MS);
+        }
+
+        @Override
+        public OptionalLong held(final Moment now) {
+            final long atUs = (long) Math.ceil((now.monoUs() - originUs) / speed);
+            return terms.stream().filter(each -> each.holder() == id && each.fromUs() >= upUs && each.fromUs() <= atUs
+                    && atUs < each.toUs() + heldLongerUs).mapToLong(Term::token).max();
+        }
+
+        @Override
+        public Optional<Holding> holder(final Moment now) {
+            return terms.stream().filter(term -> term.fromUs() <= nowUs - lagUs)
+                    .reduce((first, second) -> second).map(each -> new Holding(each.holder(), each.token()));
+        }
+
+        @Override
+        public boolean accepts(final long token) {
+            return holder(moment(nowUs)).map(each -> token >= each.token()).orElse(true);
+        }
+
+        private void step() {
+            if ((nowUs + id * 15 * MS) % (50 * MS) == 0) {
+                if ((nowUs + id * 15 * MS) % (100 * MS) == 0) {
+                    rations.reports(moment(nowUs), reports());
+                }
+                plane.tick(moment(nowUs));
+                view = rations.rations(moment(nowUs));
+            }
+            for (int i = 0; i < destinations; i++) {
+                waiting[i] = Math.min(CROWD, waiting[i] + (random.nextDouble() < arrivals[i] * STEP / SECOND ? 1 : 0));
+                for (long atUs = next(i); waiting[i] >= 1 && atUs < nowUs + STEP; atUs = next(i)) {
+                    call(i, atUs);
+                }
+            }
+        }
+
+        private List<Courier.Report> reports() {
+            return IntStream.range(0, destinations).mapToObj(i -> {
+                final List<Long> made = calls.get(i);
+                final long recent = made.subList(Math.max(0, made.size() - CROWD), made.size()).stream()
+                        .filter(atUs -> atUs > nowUs - SECOND).count();
+                return new Courier.Report(i, told[i], recent, (int) waiting[i], Courier.Phase.WELL, 0, 0, 0, 0);
+            }).toList();
+        }
+
+        /** When the next call may go: by the ration while it is valid, else by the even part of the reserve. */
+        private long next(final int i) {
+            final Courier.Ration ration = view.get((long) i);
+            if (ration != null && !even) {
+                final long atUs = paced(i, ration.callsPerSecond());
+                if (moment(atUs).monoUs() < ration.untilUs()) {
+                    return atUs;
+                }
+            }
+            return paced(i, told[i] / nodes.length * (even ? 1 : BLOCK.reserve()));
+        }
+
+        private long paced(final int i, final double rate) {
+            return Math.max(nowUs, lastUs[i] + (long) Math.ceil(SECOND / (rate * speed)));
+        }
+
+        private void call(final int i, final long atUs) {
+            waiting[i]--;
+            lastUs[i] = atUs;
+            calls.get(i).add(atUs);
+            later(atUs + 20 * MS + random.nextInt(130) * MS, () -> told[i] =
+                    limitAt(atUs) * (1 + noise * (2 * random.nextDouble() - 1)), this);
+        }
+    }
+
+    final Random random;
+    final Node[] nodes;
+    final int destinations;
+    final List<Term> terms = new ArrayList<>();
+    final TreeMap<Long, Double> limits = new TreeMap<>();
+    Supplier<Allocator> allocators;
+    long nowUs;
+    double loss, twice, noise;
+    boolean even;
+    long heldLongerUs;
+    boolean[][] cut;
+    private final TreeMap<Long, List<Runnable>> dues = new TreeMap<>();
+
+    FleetSim(final long seed, final int couriers, final int destinations, final double limit) {
+        this.random = new Random(seed);
+        this.destinations = destinations;
+        this.allocators = () -> new Allocator(couriers, BLOCK);
+        limits.put(0L, limit);
+        nodes = new Node[couriers];
+        cut = new boolean[couriers][couriers];
+        Arrays.setAll(nodes, Node::new);
+    }
+
+    double limitAt(final long atUs) {
+        return limits.floorEntry(atUs).getValue();
+    }
+
+    /** Does it once time has come and this courier is awake; a process that ended meanwhile never does it. */
+    private void later(final long atUs, final Runnable act, final Node node) {
+        final long bornUs = node.upUs;
+        dues.computeIfAbsent(atUs, unused -> new ArrayList<>()).add(() -> {
+            if (nowUs < node.awakeUs && node.upUs == bornUs) {
+                later(node.awakeUs, act, node);
+            } else if (node.upUs == bornUs) {
+                act.run();
+            }
+        });
+    }
+
+    private void post(final Node from, final Node to, final byte[] datagram) {
+        from.bytes += datagram.length;
+        if (!cut[from.id][to.id] && random.nextDouble() >= loss) {
+            for (int copies = random.nextDouble() < twice ? 2 : 1; copies > 0; copies--) {
+                final long delayUs = MS + random.nextInt(random.nextInt(20) == 0 ? 2000 : 20) * MS;
+                later(nowUs + from.stallUs + delayUs, () -> to.plane.receive(to.moment(nowUs), from.id, datagram), to);
+            }
+        }
+    }
+
+    /** Plays up to this moment; {@code faults} acts at the start of each step. */
+    void play(final long untilUs, final Runnable faults) {
+        for (; nowUs < untilUs; nowUs += STEP) {
+            Arrays.stream(nodes).filter(node -> node.plane == null).forEach(node -> node.start(0));
+            faults.run();
+            while (!dues.isEmpty() && dues.firstKey() <= nowUs) {
+                dues.pollFirstEntry().getValue().forEach(Runnable::run);
+            }
+            for (final Node node : nodes) {
+                if (nowUs >= node.awakeUs) {
+                    node.step();
+                }
+                if (node.stallUs > 0) {
+                    node.awakeUs = nowUs + node.stallUs;
+                    node.stallUs = 0;
+                }
+            }
+        }
+    }
+
+    /** All calls at the first destination, in order. */
+    List<Long> calls() {
+        return Arrays.stream(nodes).flatMap(node -> node.calls.get(0).stream()).sorted().toList();
+    }
+}
