Verdicts of the whole fleet as a join of reports and returns; trials dealt out

Each courier learnt of an outage from its own calls alone, and a destination that came back met as many first trials as there are couriers. Verdicts keeps, for each destination, the latest report of each courier and the latest evidence of return; both are maxima, so loss, repetition and order cannot make two couriers that heard the same disagree. The verdict is a function of that state and the wall clock. Changes spread as rumours, digests on other parts' datagrams heal what was lost, and the courier with the duty trier permits one trial at a time, gaps apart, under its token. Nobody is ever said to be out where nothing fails.

--- /dev/null
+++ b/src/main/java/driftchute/fleet/verdict/Outage.java
@@ -0,0 +1,114 @@
+package driftchute.fleet.verdict;
+
+import driftchute.Courier.Standing;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * The evidence on one destination: a join semilattice. {@link #merge} is commutative, associative and idempotent, so
+ * what a courier holds depends on what it heard, not on the order or the number of times. Immutable.
+ */
+final class Outage {
+    /** Reports kept: the latest ones. Two make an outage; the rest lets some go stale or be withdrawn. */
+    static final int MOST_REPORTS = 8;
+    private static final int TWO = 2;
+    private final SortedMap<Integer, BadReport> reports = new TreeMap<>();
+    private final Return back;
+
+    /** Nothing heard. */
+    Outage(final long destination) {
+        this(new Return(destination, Return.Seen.NEVER, Return.Seen.NEVER), Stream.empty());
+    }
+
+    private Outage(final Return back, final Stream<BadReport> all) {
+        this.back = back;
+        all.forEach(report -> reports.merge(report.reporter(), report,
+                (one, other) -> BadReport.ORDER.compare(one, other) >= 0 ? one : other));
+        while (reports.size() > MOST_REPORTS) {
+            reports.remove(reports.values().stream().min(BadReport.ORDER).orElseThrow().reporter());
+        }
+    }
+
+    /** All that both know. */
+    Outage merge(final Outage other) {
+        return new Outage(back.merge(other.back),
+                Stream.concat(reports.values().stream(), other.reports.values().stream()));
+    }
+
+    /** All that this knows, and one thing more. */
+    Outage with(final Entry entry) {
+        return entry instanceof Return seen ? new Outage(back.merge(seen), reports.values().stream())
+                : new Outage(back, Stream.concat(reports.values().stream(), Stream.of((BadReport) entry)));
+    }
+
+    /** Without what is too old to be kept, or lies in the future since the wall clock was set back. */
+    Outage timely(final long nowMs, final Terms terms) {
+        return new Outage(back.isTimely(nowMs, terms) ? back : new Outage(back.destination()).back,
+                reports.values().stream().filter(report -> report.isTimely(nowMs, terms)));
+    }
+
+    /** Its entries, each in its own slot. */
+    Stream<Entry> entries() {
+        return Stream.concat(back.served().ms() > 0 ? Stream.of(back) : Stream.empty(), reports.values().stream());
+    }
+
+    /** That courier's report, or null. */
+    BadReport of(final int reporter) {
+        return reports.get(reporter);
+    }
+
+    Return back() {
+        return back;
+    }
+
+    /** The reports that count now: neither withdrawn nor stale nor ended by later evidence. */
+    List<BadReport> live(final long nowMs, final Terms terms) {
+        return reports.values().stream().filter(report -> report.failed() > 0
+                && report.madeMs() + terms.staleMs() > nowMs && !back.ends(report, terms.lateMs())).toList();
+    }
+
+    /** What this says at a moment. */
+    Judgement judge(final long nowMs, final Terms terms) {
+        final List<BadReport> live = live(nowMs, terms);
+        final long shutMs = live.stream().mapToLong(BadReport::shutMs).max().orElse(0);
+        final long coldUntilMs = back.back().ms() + terms.coldMs();
+        if (live.size() >= TWO || shutMs > 0) {
+            return of(Standing.OUT, live, shutMs, terms);
+        }
+        if (back.back().ms() > 0 && nowMs < coldUntilMs) {
+            return new Judgement(Standing.BACK, back.back().ms(), 0, coldUntilMs, List.of(back.back().by()), 0,
+                    back.back().ms());
+        }
+        return live.isEmpty() ? Judgement.WELL : of(Standing.SUSPECTED, live, 0, terms);
+    }
+
+    private Judgement of(final Standing standing, final List<BadReport> live, final long shutMs, final Terms terms) {
+        final List<Long> made = live.stream().map(BadReport::madeMs).sorted(Comparator.reverseOrder()).toList();
+        // Two reports hold until the older of the latest two is stale; one that was told shut holds alone.
+        final long pairMs = made.get(Math.min(made.size(), TWO) - 1);
+        final long toldMs = live.stream().filter(report -> report.shutMs() > 0).mapToLong(BadReport::madeMs).max()
+                .orElse(0);
+        final long sinceMs = live.stream().mapToLong(BadReport::sinceMs).min().orElse(0);
+        return new Judgement(standing, Math.max(sinceMs, back.back().ms()), shutMs,
+                Math.max(pairMs, toldMs) + terms.staleMs(), live.stream().map(BadReport::reporter).toList(),
+                live.stream().mapToInt(BadReport::failed).sum(), back.back().ms());
+    }
+
+    @Override
+    public boolean equals(final Object other) {
+        return other instanceof Outage that && reports.equals(that.reports) && back.equals(that.back);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * reports.hashCode() + back.hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return back + " " + reports.values();
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/verdict/Own.java
@@ -0,0 +1,87 @@
+package driftchute.fleet.verdict;
+
+import driftchute.Courier;
+import driftchute.Courier.Phase;
+import driftchute.fleet.Moment;
+
+/** What this courier's own calls to a destination show, on its monotonic clock. */
+final class Own {
+    /** Shorter told waits are a limit's, whose spans are a second or two; longer ones say that it is shut. */
+    private static final long SHUT_LEAST_US = 2_500_000;
+    /** Older trouble counts as so old: no figure of a day ago says more, us. */
+    private static final long OLDEST_US = 86_400_000_000L;
+    private static final long MS_US = 1000;
+
+    private boolean trouble;
+    private int failed, waiting;
+    private long fromUs = Long.MAX_VALUE;
+    private long lastUs, servedUs, shutUs;
+    private long endedUs = Long.MIN_VALUE;
+
+    /** Takes a report of the traffic in. */
+    void update(final Moment now, final Courier.Report report) {
+        final long nowUs = now.monoUs();
+        final boolean out = report.phase() == Phase.OUT && report.troubleFromUs() <= nowUs;
+        final boolean failedMore = report.failed() > failed
+                || report.troubleFromUs() != fromUs && report.troubleFromUs() <= nowUs;
+        if (failedMore || out && !trouble) {
+            lastUs = nowUs;
+        }
+        trouble = out;
+        failed = report.failed();
+        fromUs = report.troubleFromUs();
+        waiting = report.waiting();
+        servedUs = Math.min(report.servedUs(), nowUs);
+        final boolean shut = report.shutUntilUs() - nowUs > SHUT_LEAST_US;
+        shutUs = !out ? 0 : shut ? Math.max(shutUs, report.shutUntilUs()) : shutUs;
+    }
+
+    /** Whether this courier holds it for out, by its own calls. */
+    boolean isTrouble() {
+        return trouble;
+    }
+
+    int waiting() {
+        return waiting;
+    }
+
+    /** When the last failure was seen, us. */
+    long lastUs() {
+        return lastUs;
+    }
+
+    /** When a call was last delivered, us; 0 for never. */
+    long servedUs() {
+        return servedUs;
+    }
+
+    /** The same on the wall clock, ms; 0 for never. */
+    long servedMs(final Moment now) {
+        return servedUs == 0 ? 0 : wallMs(now, servedUs);
+    }
+
+    /** This as a report, one version after the last. */
+    BadReport report(final Moment now, final long destination, final int self, final BadReport before,
+                     final Terms terms) {
+        final long madeMs = Math.max(now.wallMs(), before == null ? 0 : before.madeMs() + 1);
+        final long lastMs = Math.min(madeMs, wallMs(now, lastUs));
+        final long sinceMs = Math.min(lastMs, wallMs(now, Math.max(fromUs, now.monoUs() - OLDEST_US)));
+        final long shutMs = shutUs == 0 ? 0 : Math.min(wallMs(now, shutUs), madeMs + terms.staleMs());
+        return new BadReport(destination, self, madeMs, lastMs, sinceMs,
+                Math.max(1, Math.min(BadReport.MOST_FAILED, failed)), shutMs);
+    }
+
+    /** Later evidence has ended what was seen so far: it is not reported again, however long the trouble lasts. */
+    void end() {
+        endedUs = lastUs;
+    }
+
+    /** Whether all that was seen has been ended. */
+    boolean isEnded() {
+        return lastUs <= endedUs;
+    }
+
+    private static long wallMs(final Moment now, final long us) {
+        return Math.max(0, now.wallMs() + Math.floorDiv(us - now.monoUs(), MS_US));
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/verdict/Words.java
@@ -0,0 +1,109 @@
+package driftchute.fleet.verdict;
+
+import driftchute.fleet.MalformedMessageException;
+import driftchute.fleet.Message;
+import driftchute.fleet.Varint;
+import java.nio.ByteBuffer;
+
+/** What verdicts say to each other beside their entries. */
+final class Words {
+    private Words() { }
+
+    /** The sum of the checksums of all that its sender holds. */
+    record Digest(int sum) implements Message {
+        static final int TYPE = 0x42;
+
+        static Digest read(final ByteBuffer body) {
+            return new Digest(body.getInt());
+        }
+
+        @Override
+        public int type() {
+            return TYPE;
+        }
+
+        @Override
+        public int size() {
+            return Integer.BYTES;
+        }
+
+        @Override
+        public void write(final ByteBuffer into) {
+            into.putInt(sum);
+        }
+    }
+
+    /** Asks for a datagram of entries. */
+    record Pull() implements Message {
+        static final int TYPE = 0x43;
+
+        static Pull read(final ByteBuffer body) {
+            return new Pull();
+        }
+
+        @Override
+        public int type() {
+            return TYPE;
+        }
+
+        @Override
+        public int size() {
+            return 0;
+        }
+
+        @Override
+        public void write(final ByteBuffer into) { }
+    }
+
+    /** A courier with messages for a destination that is out asks for a trial; {@code number} names this ask. */
+    record Ask(long destination, long number) implements Message {
+        static final int TYPE = 0x44;
+
+        static Ask read(final ByteBuffer body) throws MalformedMessageException {
+            return new Ask(Varint.get(body), Varint.get(body));
+        }
+
+        @Override
+        public int type() {
+            return TYPE;
+        }
+
+        @Override
+        public int size() {
+            return Varint.size(destination) + Varint.size(number);
+        }
+
+        @Override
+        public void write(final ByteBuffer into) {
+            Varint.put(into, destination);
+            Varint.put(into, number);
+        }
+    }
+
+    /** The trier's answer to that ask under its token: {@code afterMs} is 0 for a permit, or when to ask again, ms. */
+    record Answer(long destination, long number, long token, long afterMs) implements Message {
+        static final int TYPE = 0x45;
+
+        static Answer read(final ByteBuffer body) throws MalformedMessageException {
+            return new Answer(Varint.get(body), Varint.get(body), Varint.get(body), Varint.get(body));
+        }
+
+        @Override
+        public int type() {
+            return TYPE;
+        }
+
+        @Override
+        public int size() {
+            return Varint.size(destination) + Varint.size(number) + Varint.size(token) + Varint.size(afterMs);
+        }
+
+        @Override
+        public void write(final ByteBuffer into) {
+            Varint.put(into, destination);
+            Varint.put(into, number);
+            Varint.put(into, token);
+            Varint.put(into, afterMs);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/fleet/verdict/VerdictScheduleTest.java
@@ -0,0 +1,223 @@
+package driftchute.fleet.verdict;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import driftchute.Courier;
+import driftchute.Courier.Phase;
+import driftchute.Courier.Standing;
+import driftchute.fleet.Message;
+import driftchute.fleet.Moment;
+import driftchute.fleet.verdict.VerdictScene.Node;
+import driftchute.fleet.verdict.VerdictScene.Term;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Ten couriers, many schedules: how verdicts spread, when none may come, and trials one at a time. */
+final class VerdictScheduleTest {
+    private static final long MS = VerdictScene.MS;
+    private static final long SECOND = VerdictScene.SECOND;
+    private static final int COURIERS = 10;
+    private static final int SEEDS = 100;
+    private static final int PLAYS = 20;
+    /** The stated bound: two periods of the probes that digests ride on. */
+    private static final long BOUND_US = 2 * SECOND;
+
+    /** Plays until the first courier holds that standing, then until all do: the time between. */
+    private static long spreadUs(final VerdictScene scene, final Standing standing) {
+        final long endUs = scene.nowUs + 20 * SECOND;
+        long firstUs = -1;
+        while (scene.nowUs < endUs) {
+            scene.run(scene.nowUs + 5 * MS);
+            final long hold = scene.nodes.stream().filter(node -> node.standing() == standing).count();
+            firstUs = firstUs < 0 && hold > 0 ? scene.nowUs : firstUs;
+            if (hold == COURIERS) {
+                return scene.nowUs - firstUs;
+            }
+        }
+        throw new AssertionError(standing + " is not reached by all: "
+                + scene.nodes.stream().map(Node::standing).toList());
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.2})
+    void allCouriersLearnOfAnOutageAndOfItsEndWithinTheBoundThoughOnlyTwoCallThere(final double loss) {
+        final long[] outUs = new long[SEEDS];
+        final long[] backUs = new long[SEEDS];
+        for (int seed = 0; seed < SEEDS; seed++) {
+            final VerdictScene scene = new VerdictScene(seed, COURIERS, 2);
+            scene.loss = loss;
+            scene.duty.add(new Term(0, 9, 1));
+            scene.out = us -> us >= SECOND && us < 8 * SECOND;
+            outUs[seed] = spreadUs(scene, Standing.OUT);
+            backUs[seed] = spreadUs(scene, Standing.BACK);
+            final long beforeUs = scene.nowUs;
+            scene.run(beforeUs + 8 * SECOND);
+            assertThat(scene.nodes).as("seed %d: the ramp lasts the cold time, then all is well", seed)
+                    .allMatch(node -> node.standing() == Standing.BACK);
+            scene.run(beforeUs + 11 * SECOND);
+            assertThat(scene.nodes).as("seed %d", seed).allMatch(node -> node.verdict() == null);
+            scene.run(beforeUs + 25 * SECOND);
+            final long bytes = scene.bytes;
+            scene.run(beforeUs + 35 * SECOND);
+            assertThat(scene.bytes - bytes).as("forgotten: probes alone").isBetween(7L * 90, 7L * 110);
+        }
+        Arrays.sort(outUs);
+        Arrays.sort(backUs);
+        final int p99 = SEEDS * 99 / 100;
+        System.out.printf("verdict: loss %.1f: OUT p50 %d ms, p99 %d ms; BACK p50 %d ms, p99 %d ms%n", loss,
+                outUs[SEEDS / 2] / MS, outUs[p99] / MS, backUs[SEEDS / 2] / MS, backUs[p99] / MS);
+        assertThat(outUs[p99]).isLessThanOrEqualTo(BOUND_US);
+        assertThat(backUs[p99]).isLessThanOrEqualTo(BOUND_US);
+    }
+
+    @Test
+    void nobodyIsSuspectedWhereNothingFailsAndOneCouriersTroubleStaysASuspicion() {
+        int suspected = 0;
+        for (int seed = 0; seed < 20; seed++) {
+            final VerdictScene scene = new VerdictScene(seed, COURIERS, COURIERS);
+            scene.loss = 0.2;
+            scene.duty.add(new Term(0, 9, 1));
+            while (scene.nowUs < 20 * SECOND) {
+                scene.run(scene.nowUs + 50 * MS);
+                assertThat(scene.nodes).allMatch(node -> node.standing() == Standing.WELL);
+            }
+            assertThat(scene.bytes).as("probes alone").isLessThanOrEqualTo(7L * COURIERS * 21);
+            for (int round = 0; round < 200; round++) {
+                if (round % 10 == 0) {
+                    for (int call = 0; call < 3; call++) {
+                        scene.nodes.get(3).failed();
+                    }
+                }
+                scene.run(scene.nowUs + 50 * MS);
+                suspected += scene.nodes.get(5).standing() == Standing.SUSPECTED ? 1 : 0;
+                assertThat(scene.nodes).as("nobody echoes it").allMatch(node -> node.standing() == Standing.WELL
+                        || node.standing() == Standing.SUSPECTED);
+            }
+        }
+        assertThat(suspected).as("of 4,000 looks").isBetween(1, 1000);
+    }
+
+    /** Plays a hang of 10 s, with at most one permit at any moment; the trials that were made. */
+    private static long trialsInAHang(final VerdictScene scene) {
+        scene.out = us -> us >= SECOND && us < 11 * SECOND;
+        while (scene.nowUs < 11 * SECOND) {
+            scene.run(scene.nowUs + 10 * MS);
+            assertThat(scene.nodes.stream().filter(Node::mayTry).count()).as("permits at once").isLessThanOrEqualTo(1);
+        }
+        return scene.trials;
+    }
+
+    @Test
+    void trialsAreDealtOutOneAtATimeAndFewerThanHalfOfThoseOfLoneCouriers() {
+        long dealt = 0;
+        long replaced = 0;
+        long alone = 0;
+        for (int seed = 0; seed < PLAYS; seed++) {
+            final VerdictScene calm = new VerdictScene(seed, COURIERS, COURIERS);
+            calm.duty.add(new Term(0, 0, 1));
+            dealt += trialsInAHang(calm);
+            final VerdictScene stopped = new VerdictScene(seed, COURIERS, COURIERS);
+            stopped.loss = 0.2;
+            final long stopUs = 5 * SECOND + seed * 100 * MS;
+            stopped.duty.addAll(List.of(new Term(0, 0, 1), new Term(stopUs + SECOND, 1, 2)));
+            stopped.at(stopUs, () -> stopped.nodes.get(0).stoppedUntilUs = stopUs + 3 * SECOND);
+            replaced += trialsInAHang(stopped);
+            spreadUs(stopped, Standing.BACK);
+            final VerdictScene lone = new VerdictScene(seed, COURIERS, COURIERS);
+            lone.fleet = false;
+            alone += trialsInAHang(lone);
+        }
+        System.out.printf("trials in a hang of 10 s, mean of %d: dealt out %.1f, trier replaced %.1f, alone %.1f%n",
+                PLAYS, (double) dealt / PLAYS, (double) replaced / PLAYS, (double) alone / PLAYS);
+        assertThat(dealt).isLessThan(alone / 2);
+        assertThat(replaced).isLessThan(alone / 2);
+    }
+
+    @Test
+    void whereNobodyDealsOutTrialsForTwoLeasesEachCourierMakesItsOwn() {
+        final VerdictScene scene = new VerdictScene(1, COURIERS, COURIERS);
+        scene.duty.addAll(List.of(new Term(0, 0, 1), new Term(4 * SECOND, -1, 1), new Term(16 * SECOND, 1, 2)));
+        scene.out = us -> us >= SECOND;
+        scene.run(9 * SECOND);
+        assertThat(scene.nodes).allMatch(node -> node.verdict().trialUntilUs() != Long.MAX_VALUE);
+        scene.run(11 * SECOND);
+        assertThat(scene.nodes).allMatch(node -> node.verdict().trialUntilUs() == Long.MAX_VALUE);
+        scene.run(17 * SECOND);
+        assertThat(scene.nodes).allMatch(node -> node.verdict().trialUntilUs() != Long.MAX_VALUE);
+    }
+
+    @Test
+    void liesAreBoundedAndLateFailuresOfAnOldOutageStartNoNewOne() {
+        final VerdictScene scene = new VerdictScene(1, COURIERS, 0);
+        scene.loss = 1;
+        final Node node = scene.nodes.get(0);
+        scene.run(SECOND);
+        final Moment now = node.now();
+        final long ms = now.wallMs();
+        final List<Message> said = new ArrayList<>();
+        hear(node, new BadReport(7, 1, ms + 1001, ms, ms, 3, 0),
+                new BadReport(7, 2, ms - 60_000, ms - 60_000, 1, 3, 0));
+        assertThat(node.verdict()).as("from the future, and of a minute ago").isNull();
+        assertThat(node.verdicts.refused()).isEqualTo(2);
+        hear(node, new BadReport(7, 0, ms + 1, ms, ms, 3, 0));
+        node.verdicts.receive(now, 1, new Words.Pull(), (peer, message) -> said.add(message));
+        assertThat(node.verdict()).as("in its own name: withdrawn").isNull();
+        assertThat(said).contains(new BadReport(7, 0, ms + 2, ms + 2, ms + 2, 0, 0));
+
+        hear(node, new BadReport(7, 1, ms, ms - 10, ms - 900, 3, 0));
+        assertThat(node.standing()).isEqualTo(Standing.SUSPECTED);
+        hear(node, new BadReport(7, 1, ms + 3, ms - 10, ms - 900, 3, ms + 5000));
+        assertThat(node.standing()).as("told shut").isEqualTo(Standing.OUT);
+        assertThat(node.verdict().shutUntilUs()).isEqualTo(now.monoUs() + 5000 * MS);
+        final Return.Seen seen = new Return.Seen(ms, 4);
+        hear(node, new Return(7, seen, seen));
+        assertThat(node.standing()).isEqualTo(Standing.BACK);
+        assertThat(node.verdict().sinceUs()).isEqualTo(now.monoUs());
+        scene.run(4 * SECOND);
+        hear(node, new BadReport(7, 2, ms + 2900, ms + 2900, ms - 800, 3, 0),
+                new BadReport(7, 3, ms + 2900, ms + 2900, ms - 800, 3, 0));
+        assertThat(node.standing()).as("calls of the old outage that time out late").isEqualTo(Standing.BACK);
+        hear(node, new BadReport(7, 2, ms + 3000, ms + 2900, ms + 1, 3, 0),
+                new BadReport(7, 3, ms + 3000, ms + 2900, ms + 1, 3, 0));
+        assertThat(node.standing()).as("a new outage").isEqualTo(Standing.OUT);
+        scene.run(13_990 * MS);
+        assertThat(node.standing()).isEqualTo(Standing.OUT);
+        scene.run(14_000 * MS);
+        assertThat(node.verdict()).as("stale: counts for nothing").isNull();
+    }
+
+    @Test
+    void aPermitCountsOnlyForTheLatestAskUnderTheTokenThatIsHeldAndFromItsHolder() {
+        final VerdictScene scene = new VerdictScene(1, COURIERS, 0);
+        scene.loss = 1;
+        scene.duty.addAll(List.of(new Term(0, 4, 1), new Term(1100 * MS, 5, 2)));
+        final Node node = scene.nodes.get(0);
+        scene.run(SECOND);
+        final Moment asked = node.now();
+        final long ms = asked.wallMs();
+        hear(node, new BadReport(7, 1, ms, ms, ms, 3, 0), new BadReport(7, 2, ms, ms, ms, 3, 0));
+        node.verdicts.reports(asked, List.of(new Courier.Report(7, 0, 1, 1, Phase.WELL, 0, Long.MAX_VALUE, 0, 0)));
+        final List<Message> said = new ArrayList<>();
+        node.verdicts.tick(asked, (peer, message) -> said.add(message));
+        assertThat(said).contains(new Words.Ask(7, 1));
+        scene.run(1200 * MS);
+        node.verdicts.receive(node.now(), 4, new Words.Answer(7, 1, 1, 0), (peer, message) -> { });
+        node.verdicts.receive(node.now(), 5, new Words.Answer(7, 1, 1, 0), (peer, message) -> { });
+        node.verdicts.receive(node.now(), 4, new Words.Answer(7, 1, 2, 0), (peer, message) -> { });
+        node.verdicts.receive(node.now(), 5, new Words.Answer(7, 0, 2, 0), (peer, message) -> { });
+        assertThat(node.verdict().trialUntilUs()).isZero();
+        node.verdicts.receive(node.now(), 5, new Words.Answer(7, 1, 2, 0), (peer, message) -> { });
+        assertThat(node.verdict().trialUntilUs()).as("from the ask, less the drift")
+                .isEqualTo(asked.monoUs() + 500 * MS - 500);
+    }
+
+    private static void hear(final Node node, final Message... messages) {
+        for (final Message message : messages) {
+            node.verdicts.receive(node.now(), 1, message, (peer, said) -> { });
+        }
+    }
+}
