Session classes: sequential test, epochs, splitting of suspects (not joined yet)

Need: any message may be merged with any other, so that one session whose messages spoil a call takes innocent ones along. Change: driftchute.fleet.session (types 0x60 to 0x62) holds what the couriers saw of a session's calls, promotes it by Wald's test, demotes it by an epoch that voids older evidence, and tells a poisoner apart by halving the sessions of a failed call.

--- /dev/null
+++ b/src/main/java/driftchute/fleet/session/Counts.java
@@ -0,0 +1,70 @@
+package driftchute.fleet.session;
+
+import driftchute.fleet.Codec;
+import driftchute.fleet.MalformedMessageException;
+import driftchute.fleet.Message;
+import driftchute.fleet.Varint;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Some of the sender's own counters, all of the life of the process that sends them. */
+record Counts(long life, List<Row> rows) implements Message {
+    static final int TYPE = 0x62;
+
+    /** One session's counters within an epoch. */
+    record Row(long session, int epoch, Counters counters) {
+        int size() {
+            return Long.BYTES + Varint.size(epoch) + counters.size();
+        }
+    }
+
+    Counts {
+        rows = List.copyOf(rows);
+    }
+
+    @Override
+    public int type() {
+        return TYPE;
+    }
+
+    @Override
+    public int size() {
+        return Varint.size(life) + rows.stream().mapToInt(Row::size).sum();
+    }
+
+    @Override
+    public void write(final ByteBuffer into) {
+        Varint.put(into, life);
+        for (final Row row : rows) {
+            into.putLong(row.session());
+            Varint.put(into, row.epoch());
+            row.counters().write(into);
+        }
+    }
+
+    /**
+     * Reads rows to the end of the body, so that their number need not be told.
+     *
+     * @throws MalformedMessageException for an epoch that no session can have
+     * @throws IllegalArgumentException for counters that no courier can have
+     */
+    static Counts read(final ByteBuffer from) throws MalformedMessageException {
+        final long life = Varint.get(from);
+        final List<Row> rows = new ArrayList<>();
+        while (from.hasRemaining()) {
+            final long session = from.getLong();
+            final long epoch = Varint.get(from);
+            if (epoch > SessionState.MOST_EPOCH) {
+                throw new MalformedMessageException("a session's epoch of " + epoch);
+            }
+            rows.add(new Row(session, (int) epoch, Counters.read(life, from)));
+        }
+        return new Counts(life, rows);
+    }
+
+    /** The most bytes of rows that fit where so many are left for this message with its prefix. */
+    static int room(final long life, final int left) {
+        return Math.min(left - Rumours.PREFIX, Codec.MOST_BODY) - Varint.size(life);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/session/Demotion.java
@@ -0,0 +1,42 @@
+package driftchute.fleet.session;
+
+import driftchute.fleet.MalformedMessageException;
+import driftchute.fleet.Message;
+import driftchute.fleet.Varint;
+import java.nio.ByteBuffer;
+
+/**
+ * A session's epoch, told because of a demotion ({@code heard} false: asks for an answer), or as the answer to one.
+ *
+ * @param epoch 1 to 2^20
+ */
+record Demotion(boolean heard, long session, int epoch) implements Message {
+    static final int TELL = 0x60;
+    static final int HEARD = 0x61;
+
+    @Override
+    public int type() {
+        return heard ? HEARD : TELL;
+    }
+
+    @Override
+    public int size() {
+        return Long.BYTES + Varint.size(epoch);
+    }
+
+    @Override
+    public void write(final ByteBuffer into) {
+        into.putLong(session);
+        Varint.put(into, epoch);
+    }
+
+    /** @throws MalformedMessageException for an epoch that no session can have */
+    static Demotion read(final boolean heard, final ByteBuffer from) throws MalformedMessageException {
+        final long session = from.getLong();
+        final long epoch = Varint.get(from);
+        if (epoch < 1 || epoch > SessionState.MOST_EPOCH) {
+            throw new MalformedMessageException("a session's epoch of " + epoch);
+        }
+        return new Demotion(heard, session, (int) epoch);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/session/Rumours.java
@@ -0,0 +1,119 @@
+package driftchute.fleet.session;
+
+import driftchute.fleet.Message;
+import driftchute.fleet.Moment;
+import driftchute.fleet.Outbox;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Demotions on their way. One of this courier's own goes to each of the others at once, and again after waits that
+ * double until it is confirmed; one that it was told rides along to those who may not have it, a few times. Both kinds
+ * are bounded apart, so that a courier that tells of many cannot push out this one's own.
+ */
+final class Rumours {
+    /** Bytes of a message in a datagram beside its body: type and length. */
+    static final int PREFIX = 2;
+    /** First wait for a confirmation, us: above a round trip in a site; and tries in all, the last after 6.3 s. */
+    private static final long FIRST_WAIT_US = 100_000;
+    private static final int MOST_TRIES = 7;
+    private static final int MOST = 256;
+    /** Times that a demotion which this courier was told rides to each of the others. */
+    private static final int RIDES = 2;
+
+    private static final class Rumour {
+        final int epoch;
+        final BitSet missing;
+        final byte[] rides;
+        int tries;
+        long nextUs;
+
+        Rumour(final int epoch, final int couriers, final int self, final long nowUs) {
+            this.epoch = epoch;
+            this.nextUs = nowUs;
+            missing = new BitSet(couriers);
+            missing.set(0, couriers);
+            missing.clear(self);
+            rides = new byte[couriers];
+        }
+    }
+
+    private final int self;
+    private final int couriers;
+    private final Latest<Rumour> own = new Latest<>(MOST);
+    private final Latest<Rumour> told = new Latest<>(MOST);
+
+    Rumours(final int self, final int couriers) {
+        this.self = self;
+        this.couriers = couriers;
+    }
+
+    /** This courier demoted a session: {@link #send} is due. */
+    void start(final Moment now, final long session, final int epoch) {
+        own.put(session, new Rumour(epoch, couriers, self, now.monoUs()));
+    }
+
+    /** That courier told of a demotion that was news here. */
+    void pass(final Moment now, final int from, final long session, final int epoch) {
+        final Rumour rumour = new Rumour(epoch, couriers, self, now.monoUs());
+        rumour.missing.clear(from);
+        told.put(session, rumour);
+    }
+
+    /** That courier holds this epoch of the session, or a later one. */
+    void known(final int courier, final long session, final int epoch) {
+        for (final Latest<Rumour> some : List.of(own, told)) {
+            final Rumour rumour = some.get(session);
+            if (rumour != null && epoch >= rumour.epoch) {
+                rumour.missing.clear(courier);
+            }
+        }
+    }
+
+    /** Sends what is due; returns when the next is, monotonic us. */
+    long send(final Moment now, final Outbox out) {
+        long next = Long.MAX_VALUE;
+        for (final Iterator<Map.Entry<Long, Rumour>> it = own.all().entrySet().iterator(); it.hasNext();) {
+            final Map.Entry<Long, Rumour> one = it.next();
+            final Rumour rumour = one.getValue();
+            if (rumour.nextUs <= now.monoUs()) {
+                final Demotion demotion = new Demotion(false, one.getKey(), rumour.epoch);
+                rumour.missing.stream().forEach(peer -> out.send(peer, demotion));
+                rumour.nextUs = now.monoUs() + (FIRST_WAIT_US << rumour.tries++);
+            }
+            if (rumour.missing.isEmpty() || rumour.tries >= MOST_TRIES) {
+                it.remove();
+            } else {
+                next = Math.min(next, rumour.nextUs);
+            }
+        }
+        return next;
+    }
+
+    /** What rides along to that courier within so many bytes. */
+    List<Message> ride(final int peer, final int room) {
+        final List<Message> riding = new ArrayList<>();
+        int left = room;
+        for (final Iterator<Map.Entry<Long, Rumour>> it = told.all().entrySet().iterator(); it.hasNext();) {
+            final Map.Entry<Long, Rumour> one = it.next();
+            final Rumour rumour = one.getValue();
+            if (rumour.missing.isEmpty()) {
+                it.remove();
+            } else if (rumour.missing.get(peer)) {
+                final Demotion demotion = new Demotion(false, one.getKey(), rumour.epoch);
+                left -= demotion.size() + PREFIX;
+                if (left < 0) {
+                    break;
+                }
+                riding.add(demotion);
+                if (++rumour.rides[peer] >= RIDES) {
+                    rumour.missing.clear(peer);
+                }
+            }
+        }
+        return riding;
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/session/Wilson.java
@@ -0,0 +1,26 @@
+package driftchute.fleet.session;
+
+/** One-sided bounds (95% each) on a rate, from how often it was seen (Wilson 1927; Brown, Cai, DasGupta 2001). */
+final class Wilson {
+    /** The normal distribution's quantile of 0.95. */
+    private static final double Z = 1.6448536269514722;
+
+    private Wilson() { }
+
+    /** The rate is below this; 1 where nothing was seen. */
+    static double upper(final long hits, final long of) {
+        return of == 0 ? 1 : bound(hits, of, 1);
+    }
+
+    /** The rate is above this; 0 where nothing was seen. */
+    static double lower(final long hits, final long of) {
+        return of == 0 ? 0 : bound(hits, of, -1);
+    }
+
+    private static double bound(final long hits, final long of, final int side) {
+        final double rate = (double) hits / of;
+        final double square = Z * Z / of;
+        final double spread = Z * Math.sqrt(rate * (1 - rate) / of + square / (4 * of));
+        return Math.min(1, Math.max(0, (rate + square / 2 + side * spread) / (1 + square)));
+    }
+}
