--- a/src/test/java/driftchute/fleet/CourierProcess.java
+++ b/src/test/java/driftchute/fleet/CourierProcess.java
@@ -86,9 +86,16 @@
 
     /** Starts a process on the folder; its lines are read as they come. */
     void start(final String discovery) throws IOException {
+        start(discovery, List.of());
+    }
+
+    /** The same, by a program that replaces itself by the run line. */
+    void start(final String discovery, final List<String> starter) throws IOException {
         final Path file = folder.resolve("config.json");
         Files.writeString(file, config.replace("$DISCOVERY", discovery));
-        final ProcessBuilder builder = new ProcessBuilder(runLine()).redirectErrorStream(true);
+        final List<String> words = new ArrayList<>(starter);
+        words.addAll(runLine());
+        final ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
         final Map<String, String> environment = builder.environment();
         environment.put("PROXY_CONFIG", file.toString());
         environment.put("PROXY_DISCOVERY", discovery);
