Say when the listener has closed, and await that in the upgrade test

Seen: UpgradeWaitIT waited 30 s for an answer once in a full verify: the old process was stopped after it said that the next one listens and before it had closed its listener, so that a connection went to the stopped one. Change: listener_closed is logged behind the close; the test awaits it.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -187,6 +187,7 @@
             Log.info("the last connections could not be accepted: " + e.getMessage());
         }
         listener.close();
+        Log.event("listener_closed");
     }
 
     /** True when no client is connected any more. */
--- a/src/test/java/driftchute/fleet/UpgradeWaitIT.java
+++ b/src/test/java/driftchute/fleet/UpgradeWaitIT.java
@@ -57,7 +57,7 @@
         old.signal("TERM");
         Fleet.await("the new one's listener", () -> !next.events("ready").isEmpty());
         // Until then the system deals connections out to both.
-        Fleet.await("the end of the old one's", () -> old.log.stream().anyMatch(line -> line.contains("next process listens")));
+        Fleet.await("the end of the old one's", () -> !old.events("listener_closed").isEmpty());
     }
 
     @AfterEach
