--- /dev/null
+++ b/src/main/java/driftchute/fleet/lane/Accounts.java
@@ -0,0 +1,35 @@
+package driftchute.fleet.lane;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Accounts by a fixed 64-bit hash of their names, so that every courier names the same account alike whatever the
+ * order of its settings: FNV-1a (draft-eastlake-fnv) and then the finisher of MurmurHash3, since FNV alone hardly
+ * moves the high bits of short names.
+ */
+public final class Accounts {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+    private static final long MIX_1 = 0xff51afd7ed558ccdL;
+    private static final long MIX_2 = 0xc4ceb9fe1a85ec53L;
+    private static final int HALF = 33;
+    private static final int BYTE = 0xFF;
+
+    private Accounts() { }
+
+    /** The account of this name: a tenant's, a client's, a connection's. */
+    public static long hash(final String name) {
+        long hash = FNV_OFFSET;
+        for (final byte next : name.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ next & BYTE) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
+    /** Spreads 64 bits over 64 bits, one to one. */
+    static long mix(final long bits) {
+        long mixed = (bits ^ bits >>> HALF) * MIX_1;
+        mixed = (mixed ^ mixed >>> HALF) * MIX_2;
+        return mixed ^ mixed >>> HALF;
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lane/BlockMessage.java
@@ -0,0 +1,40 @@
+package driftchute.fleet.lane;
+
+import driftchute.fleet.MalformedMessageException;
+import driftchute.fleet.Message;
+import driftchute.fleet.Varint;
+import java.nio.ByteBuffer;
+
+/**
+ * The latest block that its sender holds. Nobody speaks for another, so no courier can make up a majority.
+ *
+ * @param asks the sender has not heard which block the receiver holds
+ */
+record BlockMessage(int version, int digest, boolean asks) implements Message {
+    static final int TYPE = 0x52;
+
+    static Message read(final ByteBuffer body) throws MalformedMessageException {
+        final int asks = body.get();
+        if (asks < 0 || asks > 1) {
+            throw new MalformedMessageException("no yes or no: " + asks);
+        }
+        return new BlockMessage((int) LaneBytes.atMost(Integer.MAX_VALUE, body), body.getInt(), asks == 1);
+    }
+
+    @Override
+    public int type() {
+        return TYPE;
+    }
+
+    @Override
+    public int size() {
+        return 1 + Varint.size(version) + Integer.BYTES;
+    }
+
+    @Override
+    public void write(final ByteBuffer into) {
+        into.put((byte) (asks ? 1 : 0));
+        Varint.put(into, version);
+        into.putInt(digest);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lane/BlockVersions.java
@@ -0,0 +1,157 @@
+package driftchute.fleet.lane;
+
+import driftchute.fleet.Events;
+import driftchute.fleet.Message;
+import driftchute.fleet.Moment;
+import driftchute.fleet.Outbox;
+import driftchute.fleet.Part;
+import driftchute.fleet.Rider;
+import driftchute.fleet.Tier;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which block of lanes is in force while a change is rolled through the fleet: a new one comes into force once a
+ * majority of the configured couriers holds its version or a later one; until then the stricter of the two holds
+ * (docs/fleet-lanes.md).
+ */
+public final class BlockVersions implements Part, Rider {
+    /** When a change is told to all, after it: at 30% loss, one peer in a hundred has missed all four. */
+    private static final long[] TOLD_AT_US = {0, 1_000_000, 3_000_000, 7_000_000};
+    /** Rides that seldom cost 3 to 5 bytes a second, whatever the fleet's size. */
+    private static final long RIDE_US = 2_500_000;
+    /** Type and length before a body (PROTOCOL-irishead.md sets the datagram; docs/one-fleet.md the frame). */
+    private static final int PREFIX = 2;
+
+    private final Tier tier;
+    private final Events events;
+    private final Map<Integer, BlockMessage> peers = new HashMap<>();
+    private Lanes inForce;
+    private Lanes pending;
+    private Lanes stricter;
+    private long changedUs;
+    private int told;
+    private boolean started;
+    private long rodeUs;
+    private int behind;
+
+    /** Starts with the only block that this courier has. */
+    public BlockVersions(final Tier tier, final Lanes first, final Events events) {
+        this.tier = tier;
+        this.inForce = first;
+        this.events = events;
+        this.behind = first.version();
+    }
+
+    /** The lanes to go by now. */
+    public Lanes lanes() {
+        return pending == null ? inForce : stricter;
+    }
+
+    /** The latest block that this courier holds, in force or pending. */
+    Lanes latest() {
+        return pending == null ? inForce : pending;
+    }
+
+    /**
+     * The configuration was read anew. A block of a lower version, or of the same with other content, is refused with
+     * a line; the same once more is no news.
+     */
+    public void offer(final Moment now, final Lanes next) {
+        if (next.digest() == latest().digest()) {
+            return;
+        }
+        if (next.version() <= latest().version()) {
+            events.event("lanes_refused", "version", next.version(), "held", latest().version());
+            return;
+        }
+        pending = next;
+        stricter = Lanes.stricter(inForce, pending);
+        changed(now);
+        events.event("lanes_pending", "version", next.version(), "in_force", inForce.version());
+        weigh();
+    }
+
+    private void changed(final Moment now) {
+        changedUs = now.monoUs();
+        rodeUs = changedUs;
+        told = 0;
+        started = true;
+    }
+
+    @Override
+    public Map<Integer, Message.Reader> readers() {
+        return Map.of(BlockMessage.TYPE, BlockMessage::read);
+    }
+
+    @Override
+    public void receive(final Moment now, final int from, final Message message, final Outbox out) {
+        if (!(message instanceof BlockMessage block) || from == tier.self()) {
+            return;
+        }
+        final BlockMessage before = peers.put(from, block);
+        if (block.version() == latest().version() && block.digest() != latest().digest()
+                && (before == null || before.digest() != block.digest())) {
+            events.event("lanes_differ", "courier", from, "version", block.version());
+        }
+        if (block.asks()) {
+            out.send(from, mine(from, false));
+        }
+        weigh();
+    }
+
+    /**
+     * Brings the pending block into force where a majority has it, and tells where a majority has one that is not here.
+     */
+    private void weigh() {
+        if (pending != null && holders(pending.version(), pending.digest()) + 1 >= tier.majority()) {
+            inForce = pending;
+            pending = null;
+            stricter = null;
+            events.event("lanes_in_force", "version", inForce.version());
+        }
+        final int mine = Math.max(behind, latest().version());
+        final List<Integer> later = peers.values().stream().map(BlockMessage::version)
+                .filter(version -> version > mine).sorted().toList();
+        if (later.size() >= tier.majority()) {
+            behind = later.get(later.size() - tier.majority());
+            events.event("lanes_behind", "version", behind, "held", latest().version());
+        }
+    }
+
+    private int holders(final int version, final int digest) {
+        return (int) peers.values().stream().filter(block -> block.version() > version
+                || block.version() == version && block.digest() == digest).count();
+    }
+
+    private BlockMessage mine(final int peer, final boolean asking) {
+        return new BlockMessage(latest().version(), latest().digest(), asking && !peers.containsKey(peer));
+    }
+
+    @Override
+    public long tick(final Moment now, final Outbox out) {
+        if (!started) {
+            changed(now);
+        }
+        if (told < TOLD_AT_US.length && now.monoUs() >= changedUs + TOLD_AT_US[told]) {
+            told++;
+            for (int peer = 0; peer < tier.size(); peer++) {
+                if (peer != tier.self()) {
+                    out.send(peer, mine(peer, true));
+                }
+            }
+        }
+        return told < TOLD_AT_US.length ? Math.max(now.monoUs() + 1, changedUs + TOLD_AT_US[told]) : Long.MAX_VALUE;
+    }
+
+    @Override
+    public List<Message> ride(final Moment now, final int peer, final int room) {
+        final BlockMessage mine = mine(peer, true);
+        if (!started || now.monoUs() - rodeUs < RIDE_US || mine.size() + PREFIX > room) {
+            return List.of();
+        }
+        rodeUs = now.monoUs();
+        return List.of(mine);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lane/LanePart.java
@@ -0,0 +1,170 @@
+package driftchute.fleet.lane;
+
+import driftchute.fleet.Events;
+import driftchute.fleet.Message;
+import driftchute.fleet.Moment;
+import driftchute.fleet.Outbox;
+import driftchute.fleet.Part;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+
+/**
+ * The lanes' part of the control plane: tells the allocator what this courier is offered, decides where this courier
+ * is the allocator, and holds the levels that it has heard, each for one ration time (docs/fleet-lanes.md).
+ */
+public final class LanePart implements Part {
+    /** Reports and decisions in one ration time: two may be lost before a word runs out. */
+    private static final int IN_RATION_TIME = 3;
+    /**
+     * How long after its end a level is remembered: datagrams come seconds late, and a new allocator goes on from it.
+     */
+    private static final long REMEMBERED_US = 10_000_000;
+
+    /** The last level heard for a destination. */
+    private record Last(LevelVersion version, HeardLevel level) { }
+
+    private final int couriers;
+    private final long rationUs;
+    private final Supplier<Lanes> current;
+    private final Duty duty;
+    private final Capacity capacity;
+    private final Events events;
+    private final Map<Long, Last> heard = new HashMap<>();
+    private Map<Long, double[]> offered = Map.of();
+    private long offeredUntilUs;
+    private Lanes lanes;
+    private Allocator allocator;
+    private int toldForeign;
+    /**
+     * Of the levels that this courier decides; never starts anew, since a token may be held by several allocators in
+     * turn.
+     */
+    private long sequence;
+    private long dueUs = Long.MIN_VALUE;
+
+    /**
+     * The part of one courier in a tier of so many.
+     *
+     * @param rationUs how long a level counts, us
+     * @param current the lanes to go by, which may change
+     */
+    public LanePart(final int couriers, final long rationUs, final Supplier<Lanes> current, final Duty duty,
+                    final Capacity capacity, final Events events) {
+        this.couriers = couriers;
+        this.rationUs = rationUs;
+        this.current = current;
+        this.duty = duty;
+        this.capacity = capacity;
+        this.events = events;
+        this.lanes = current.get();
+    }
+
+    /**
+     * What this courier is offered now, messages a second by destination and lane, as {@link Shedder#turn} tells it.
+     */
+    public void offered(final Moment now, final Map<Long, double[]> perSecond) {
+        offered = Map.copyOf(perSecond);
+        offeredUntilUs = now.monoUs() + rationUs;
+    }
+
+    /** What the traffic goes by. */
+    public LaneView view(final Moment now) {
+        forget(now);
+        return new LaneView(lanes, levels());
+    }
+
+    @Override
+    public Map<Integer, Message.Reader> readers() {
+        return Map.of(DemandMessage.TYPE, DemandMessage::read, LevelMessage.TYPE, LevelMessage::read);
+    }
+
+    @Override
+    public void receive(final Moment now, final int from, final Message message, final Outbox out) {
+        adopt();
+        if (message instanceof DemandMessage demand && holds(now)) {
+            allocator.demand(from, demand, capacity.limit(demand.destination()), now.monoUs() + rationUs);
+        } else if (message instanceof LevelMessage level) {
+            hear(now, from, level);
+        }
+    }
+
+    private void hear(final Moment now, final int from, final LevelMessage message) {
+        final Last last = heard.get(message.destination());
+        final boolean fromHolder = duty.accepts(message.version().token())
+                && duty.holder(now).map(holder -> holder == from).orElse(true);
+        if (fromHolder && message.digest() != lanes.digest()) {
+            foreign(from, message.digest());
+            return;
+        }
+        final boolean news = last == null ? heard.size() < DemandTable.MOST_DESTINATIONS
+                : message.version().compareTo(last.version) > 0;
+        if (!fromHolder || !news || message.level().lanes() != lanes.count()) {
+            return;
+        }
+        heard.put(message.destination(), new Last(message.version(),
+                new HeardLevel(message.level(), now.monoUs() + rationUs)));
+    }
+
+    /** The allocator goes by another block, which leaves this courier to its own floor: one line for each block. */
+    private void foreign(final int from, final int digest) {
+        if (digest != toldForeign) {
+            toldForeign = digest;
+            events.event("lane_level_foreign", "courier", from, "digest", digest, "held", lanes.digest());
+        }
+    }
+
+    private void forget(final Moment now) {
+        heard.values().removeIf(last -> now.monoUs() >= last.level.untilUs() + REMEMBERED_US);
+    }
+
+    private Map<Long, HeardLevel> levels() {
+        final Map<Long, HeardLevel> levels = new HashMap<>();
+        heard.forEach((destination, last) -> levels.put(destination, last.level));
+        return levels;
+    }
+
+    private void adopt() {
+        final Lanes next = current.get();
+        if (next != lanes) {
+            if (next.digest() != lanes.digest()) {
+                heard.clear();
+                offered = Map.of();
+            }
+            lanes = next;
+            toldForeign = 0;
+        }
+    }
+
+    private boolean holds(final Moment now) {
+        final OptionalLong token = duty.held(now);
+        if (token.isEmpty()) {
+            allocator = null;
+        } else if (allocator == null || !allocator.decidesUnder(token.getAsLong(), lanes)) {
+            allocator = new Allocator(lanes, couriers, token.getAsLong(), () -> ++sequence, events);
+        }
+        return allocator != null;
+    }
+
+    @Override
+    public long tick(final Moment now, final Outbox out) {
+        if (now.monoUs() < dueUs) {
+            return dueUs;
+        }
+        dueUs = now.monoUs() + rationUs / IN_RATION_TIME;
+        adopt();
+        forget(now);
+        if (now.monoUs() < offeredUntilUs) {
+            duty.holder(now).ifPresent(holder -> offered.forEach((destination, perSecond) -> {
+                if (perSecond.length == lanes.count()) {
+                    out.send(holder, DemandMessage.of(lanes.digest(), destination, perSecond));
+                }
+            }));
+        }
+        if (holds(now)) {
+            allocator.decide(now, capacity, levels(), out);
+        }
+        return dueUs;
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lane/LaneRates.java
@@ -0,0 +1,44 @@
+package driftchute.fleet.lane;
+
+/** Counts by lane as smoothed rates, messages a second. Times in us. */
+final class LaneRates {
+    private static final double US_PER_S = 1e6;
+    /** Less is nothing: a lane that has fallen silent has no demand. */
+    private static final double LEAST_PER_S = 0.05;
+
+    private final double messages;
+    private final double leastUs;
+    private final double mostUs;
+    private final double[] perSecond;
+    private boolean turned;
+
+    /** Smooths over as long as so many messages take, but for that long at least and at most. */
+    LaneRates(final int lanes, final int messages, final long leastUs, final long mostUs) {
+        this.messages = messages;
+        this.leastUs = leastUs;
+        this.mostUs = mostUs;
+        this.perSecond = new double[lanes];
+    }
+
+    /** So many came in that time. */
+    void turn(final long[] counts, final double elapsedUs) {
+        double came = 0;
+        double known = 0;
+        for (int i = 0; i < counts.length; i++) {
+            came += counts[i] * US_PER_S / elapsedUs;
+            known += perSecond[i];
+        }
+        final double smoothUs = Math.min(mostUs, Math.max(leastUs, messages * US_PER_S / Math.max(came, known)));
+        final double weight = turned ? 1 - Math.exp(-elapsedUs / smoothUs) : 1;
+        for (int i = 0; i < counts.length; i++) {
+            perSecond[i] += weight * (counts[i] * US_PER_S / elapsedUs - perSecond[i]);
+            perSecond[i] = perSecond[i] < LEAST_PER_S ? 0 : perSecond[i];
+        }
+        turned = true;
+    }
+
+    /** Messages a second by lane. */
+    double[] perSecond() {
+        return perSecond.clone();
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lane/Lanes.java
@@ -0,0 +1,201 @@
+package driftchute.fleet.lane;
+
+import driftchute.Courier;
+import driftchute.fleet.FleetBlock;
+import driftchute.fleet.FleetBlock.LaneBlock;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * The lanes of one block against the settings' tenants and classes, in order: the first is the last to be shed.
+ * Immutable. Without lanes in the block there is one that holds everything, without a share or a quota.
+ */
+public final class Lanes {
+    /** Messages name lanes by a byte each or so, and a frame has 256 bytes; nobody has shown a need for more. */
+    public static final int MOST = 16;
+    /** Shares are decimal fractions, whose sum of 1 need not be 1 in binary. */
+    private static final double ROUNDING = 1e-9;
+
+    private final int version;
+    private final int digest;
+    private final List<LaneBlock> blocks;
+    /** Lane by tenant and class, each one up, so that 0 stands for none. */
+    private final int[][] lane;
+    private final long[] accounts;
+
+    private Lanes(final int version, final int digest, final List<LaneBlock> blocks, final int[][] lane,
+                  final long[] accounts) {
+        this.version = version;
+        this.digest = digest;
+        this.blocks = blocks;
+        this.lane = lane;
+        this.accounts = accounts;
+    }
+
+    /**
+     * The lanes of this block.
+     *
+     * @throws IllegalArgumentException with one line: too many lanes, a doubled name, two that take the rest, shares
+     *         above 1 in all, a tenant or class that the settings don't have, or one that is claimed twice
+     */
+    public static Lanes of(final FleetBlock block, final Courier.Settings settings) {
+        final List<LaneBlock> blocks = block.lanes().isEmpty()
+                ? List.of(new LaneBlock("all", null, null, null, null, true)) : block.lanes();
+        require(blocks.size() <= MOST, "at most " + MOST + " lanes, not " + blocks.size());
+        final Set<String> names = new HashSet<>();
+        int rest = -1;
+        double shares = 0;
+        for (int i = 0; i < blocks.size(); i++) {
+            final LaneBlock each = blocks.get(i);
+            require(names.add(each.name()), "two lanes are named '" + each.name() + "'");
+            require(!each.rest() || rest < 0, "lane '" + each.name() + "': another lane takes the rest already");
+            rest = each.rest() ? i : rest;
+            shares += each.share();
+        }
+        require(shares <= 1 + ROUNDING, "the lanes' shares are 1 in all at most, not " + shares);
+        final List<String> tenants = settings.tenants().stream().map(Courier.Tenant::name).toList();
+        final List<String> classes = settings.classes().stream().map(Courier.MessageClass::name).toList();
+        final Map<String, Integer> byTenant = claims("tenant", blocks, LaneBlock::tenants, tenants, true);
+        final boolean tenantsDecide = !tenants.isEmpty() && byTenant.keySet().containsAll(tenants);
+        final Map<String, Integer> byClass = claims("class", blocks, LaneBlock::classes, classes, !tenantsDecide);
+        final int[][] lane = new int[tenants.size() + 1][classes.size() + 1];
+        for (int t = 0; t <= tenants.size(); t++) {
+            for (int c = 0; c <= classes.size(); c++) {
+                final int unnamed = rest < 0 ? blocks.size() - 1 : rest;
+                final int other = c == 0 ? unnamed : byClass.getOrDefault(classes.get(c - 1), unnamed);
+                lane[t][c] = t == 0 ? other : byTenant.getOrDefault(tenants.get(t - 1), other);
+            }
+        }
+        return new Lanes(block.version(), digest(block.version(), blocks), blocks, lane,
+                tenants.stream().mapToLong(Accounts::hash).toArray());
+    }
+
+    private static Map<String, Integer> claims(final String what, final List<LaneBlock> blocks,
+                                               final Function<LaneBlock, List<String>> claimed,
+                                               final List<String> known, final boolean once) {
+        final Map<String, Integer> claims = new HashMap<>();
+        for (int i = 0; i < blocks.size(); i++) {
+            for (final String name : claimed.apply(blocks.get(i))) {
+                final String lane = "lane '" + blocks.get(i).name() + "': ";
+                require(known.contains(name), lane + "no " + what + " '" + name + "' in the settings");
+                final Integer earlier = claims.putIfAbsent(name, i);
+                require(earlier == null || !once, lane + what + " '" + name + "' is claimed already, by lane '"
+                        + (earlier == null ? "" : blocks.get(earlier).name()) + "'");
+            }
+        }
+        return claims;
+    }
+
+    private static int digest(final int version, final List<LaneBlock> blocks) {
+        final StringBuilder text = new StringBuilder().append(version);
+        for (final LaneBlock each : blocks) {
+            text.append('\n').append(each.name()).append('\t').append(each.share()).append('\t').append(each.quota())
+                    .append('\t').append(each.rest());
+            each.tenants().stream().sorted().forEach(name -> text.append("\tt").append(name));
+            each.classes().stream().sorted().forEach(name -> text.append("\tc").append(name));
+        }
+        return (int) Accounts.hash(text.toString());
+    }
+
+    /**
+     * The stricter of two blocks, in the lanes of the one in force: of lanes of one name the lower share and the
+     * lower quota, and for each message the later of its two lanes. A lane whose name the block in force does not
+     * have counts from the last.
+     *
+     * @throws IllegalArgumentException where the two are made for different settings
+     */
+    static Lanes stricter(final Lanes inForce, final Lanes pending) {
+        require(inForce.lane.length == pending.lane.length && inForce.lane[0].length == pending.lane[0].length,
+                "blocks for different settings");
+        final int last = inForce.count() - 1;
+        final int[] named = new int[pending.count()];
+        for (int i = 0; i < named.length; i++) {
+            final int same = inForce.indexOf(pending.name(i));
+            named[i] = same >= 0 ? same : Math.max(0, last - (pending.count() - 1 - i));
+        }
+        final int[][] lane = new int[inForce.lane.length][inForce.lane[0].length];
+        for (int t = 0; t < lane.length; t++) {
+            for (int c = 0; c < lane[t].length; c++) {
+                lane[t][c] = Math.max(inForce.lane[t][c], named[pending.lane[t][c]]);
+            }
+        }
+        final List<LaneBlock> blocks = inForce.blocks.stream().map(old -> {
+            final int same = pending.indexOf(old.name());
+            return same < 0 ? old : new LaneBlock(old.name(), old.tenants(), old.classes(),
+                    Math.min(old.share(), pending.share(same)), lowerQuota(old.quota(), pending.quota(same)),
+                    old.rest());
+        }).toList();
+        return new Lanes(inForce.version, inForce.digest, blocks, lane, inForce.accounts);
+    }
+
+    /** 0 stands for no bound at all. */
+    private static double lowerQuota(final double one, final double other) {
+        return one == 0 ? other : other == 0 ? one : Math.min(one, other);
+    }
+
+    private int indexOf(final String name) {
+        for (int i = 0; i < blocks.size(); i++) {
+            if (name(i).equals(name)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    /** How many lanes there are, at least one. */
+    public int count() {
+        return blocks.size();
+    }
+
+    /** The lane's name. */
+    public String name(final int index) {
+        return blocks.get(index).name();
+    }
+
+    /** The lane's guaranteed share of each destination's limit, 0 to 1. */
+    public double share(final int index) {
+        return blocks.get(index).share();
+    }
+
+    /** The guaranteed shares of all lanes. */
+    double[] shares() {
+        return blocks.stream().mapToDouble(LaneBlock::share).toArray();
+    }
+
+    /** Messages a second, over the fleet, that an account may send in the lane; 0: any number. */
+    public double quota(final int index) {
+        return blocks.get(index).quota();
+    }
+
+    /** Version of the block. */
+    public int version() {
+        return version;
+    }
+
+    /** Tells blocks of different version or content apart; a stricter merge has that of the block in force. */
+    public int digest() {
+        return digest;
+    }
+
+    /** The lane of a message, by the settings' indices of its class and tenant (-1 and unknown ones: none). */
+    public int laneOf(final int messageClass, final int tenant) {
+        final int row = tenant < 0 || tenant >= lane.length - 1 ? 0 : tenant + 1;
+        final int column = messageClass < 0 || messageClass >= lane[row].length - 1 ? 0 : messageClass + 1;
+        return lane[row][column];
+    }
+
+    /** The account of a message: its tenant (index) where it has one, otherwise the client that the caller names. */
+    public long account(final int tenant, final String client) {
+        return tenant >= 0 && tenant < accounts.length ? accounts[tenant] : Accounts.hash(client);
+    }
+
+    private static void require(final boolean kept, final String problem) {
+        if (!kept) {
+            throw new IllegalArgumentException("fleet: " + problem);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lane/LevelMessage.java
@@ -0,0 +1,55 @@
+package driftchute.fleet.lane;
+
+import driftchute.fleet.MalformedMessageException;
+import driftchute.fleet.Message;
+import driftchute.fleet.Varint;
+import java.nio.ByteBuffer;
+
+/**
+ * The allocator's level for a destination; each sending has a version of its own, so that one that comes late or
+ * twice does not prolong it.
+ *
+ * @param digest the block that numbers the lanes
+ */
+record LevelMessage(int digest, long destination, LevelVersion version, Level level) implements Message {
+    static final int TYPE = 0x51;
+    private static final int FIXED = Integer.BYTES + Long.BYTES + 1;
+
+    static Message read(final ByteBuffer body) throws MalformedMessageException {
+        final int digest = body.getInt();
+        final long destination = body.getLong();
+        final LevelVersion version = new LevelVersion(Varint.get(body), Varint.get(body));
+        final long epoch = Varint.get(body);
+        final int[] cuts = new int[LaneBytes.count(body)];
+        for (int i = 0; i < cuts.length; i++) {
+            cuts[i] = (int) LaneBytes.atMost(Level.SCALE, body);
+        }
+        return new LevelMessage(digest, destination, version, new Level(epoch, cuts));
+    }
+
+    @Override
+    public int type() {
+        return TYPE;
+    }
+
+    @Override
+    public int size() {
+        int size = FIXED + Varint.size(version.token()) + Varint.size(version.sequence()) + Varint.size(level.epoch());
+        for (int i = 0; i < level.lanes(); i++) {
+            size += Varint.size(level.cutOf(i));
+        }
+        return size;
+    }
+
+    @Override
+    public void write(final ByteBuffer into) {
+        into.putInt(digest).putLong(destination);
+        Varint.put(into, version.token());
+        Varint.put(into, version.sequence());
+        Varint.put(into, level.epoch());
+        into.put((byte) level.lanes());
+        for (int i = 0; i < level.lanes(); i++) {
+            Varint.put(into, level.cutOf(i));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lane/LevelVersion.java
@@ -0,0 +1,14 @@
+package driftchute.fleet.lane;
+
+import java.util.Comparator;
+
+/** Orders levels: a later holder's token first, then the sequence under one token. */
+record LevelVersion(long token, long sequence) implements Comparable<LevelVersion> {
+    private static final Comparator<LevelVersion> ORDER =
+            Comparator.comparingLong(LevelVersion::token).thenComparingLong(LevelVersion::sequence);
+
+    @Override
+    public int compareTo(final LevelVersion other) {
+        return ORDER.compare(this, other);
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/fleet/lane/ShedLevel.java
@@ -0,0 +1,89 @@
+package driftchute.fleet.lane;
+
+import java.util.Arrays;
+
+/**
+ * Which part of each lane is shed at one destination, with hysteresis: it rises at once where what it keeps is over
+ * the limit, falls only after that has stayed under a lower mark for a time, and never cuts a lane below its
+ * guaranteed share of the demand (docs/fleet-lanes.md). Without a clock: times are told, in us.
+ */
+final class ShedLevel {
+    /** What a new level lets in, of the limit: the middle of the band, so that small swings of demand move nothing. */
+    private static final double AIM = 0.95;
+    /** Under this part of the limit the level may fall. */
+    private static final double LOW = 0.9;
+    /** For so long: several report periods, and longer than a clump of traffic. */
+    private static final long CALM_US = 3_000_000;
+    private static final long NOT_CALM = Long.MIN_VALUE;
+    /** A level that keeps exactly the limit is not over it, and one that keeps a lane's demand keeps all of it. */
+    private static final double ROUNDING = 1e-9;
+
+    private final double[] shares;
+    private final double[] kept;
+    private long calmFromUs = NOT_CALM;
+
+    ShedLevel(final double[] shares) {
+        this.shares = shares.clone();
+        this.kept = new double[shares.length];
+        Arrays.fill(kept, 1);
+    }
+
+    /** Goes on from what another allocator decided, where it had as many lanes. */
+    void goOnFrom(final Level level) {
+        for (int i = 0; i < kept.length && level.lanes() == kept.length; i++) {
+            kept[i] = 1 - level.cut(i);
+        }
+    }
+
+    /**
+     * Decides on this demand, messages a second by lane.
+     *
+     * @param limit messages a second; 0, or what is no number: none is known, and nobody is shed
+     */
+    void decide(final long nowUs, final double[] demand, final double limit) {
+        if (!(limit > 0) || Double.isInfinite(limit)) {
+            Arrays.fill(kept, 1);
+            calmFromUs = NOT_CALM;
+            return;
+        }
+        double load = 0;
+        for (int i = 0; i < kept.length; i++) {
+            final double guaranteed = shares[i] * limit;
+            if (shares[i] > 0) {
+                kept[i] = Math.max(kept[i], demand[i] <= guaranteed ? 1 : guaranteed / demand[i]);
+            }
+            load += kept[i] * demand[i];
+        }
+        if (load > limit * (1 + ROUNDING)) {
+            set(demand, limit);
+        } else if (load >= LOW * limit || !sheds()) {
+            calmFromUs = NOT_CALM;
+        } else if (calmFromUs == NOT_CALM) {
+            calmFromUs = nowUs;
+        } else if (nowUs - calmFromUs >= CALM_US) {
+            set(demand, limit);
+        }
+    }
+
+    private void set(final double[] demand, final double limit) {
+        final double[] allotted = Allotment.of(demand, shares, limit, AIM);
+        boolean whole = true;
+        for (int i = 0; i < kept.length; i++) {
+            // A lane without a share that asks for nothing now must not come in later ahead of one that is cut.
+            final boolean all = allotted[i] >= demand[i] * (1 - ROUNDING);
+            kept[i] = demand[i] > 0 ? all ? 1 : allotted[i] / demand[i] : whole || shares[i] > 0 ? 1 : 0;
+            whole &= kept[i] == 1;
+        }
+        calmFromUs = NOT_CALM;
+    }
+
+    /** True while any lane is cut. */
+    boolean sheds() {
+        return Arrays.stream(kept).anyMatch(part -> part < 1);
+    }
+
+    /** The level as it stands, for the accounts of this epoch. */
+    Level at(final long epoch) {
+        return Level.of(epoch, kept);
+    }
+}
