--- a/src/main/java/driftchute/drill/UdpRelay.java
+++ b/src/main/java/driftchute/drill/UdpRelay.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -22,6 +23,8 @@
 public final class UdpRelay implements AutoCloseable {
     private static final int MOST = 65_535;
     private final DatagramSocket socket;
+    /** What it sends with: its own socket, or that of the other half of a pair. */
+    private final DatagramSocket exit;
     private final InetSocketAddress to;
     private final Random random;
     private final Set<SocketAddress> cut = ConcurrentHashMap.newKeySet();
@@ -40,12 +43,35 @@
      * @throws IOException where it cannot
      */
     public UdpRelay(final InetSocketAddress to, final long seed) throws IOException {
+        this(to, seed, socket(), null);
+    }
+
+    private UdpRelay(final InetSocketAddress to, final long seed, final DatagramSocket socket, final DatagramSocket exit) {
         this.to = to;
         this.random = new Random(seed);
-        this.socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        this.socket = socket;
+        this.exit = exit == null ? socket : exit;
         TcpRelay.daemon("udp", this::carry);
     }
 
+    private static DatagramSocket socket() throws IOException {
+        return new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    /**
+     * The path between two couriers, a relay for each direction: the first carries what {@code a} sends to it to {@code b}, as
+     * coming from the second's address, and the other way round. So each one's datagrams come from the address that the other
+     * knows it by (PROTOCOL-irishead.md, Between couriers), and each direction has a fault of its own.
+     *
+     * @throws IOException where they cannot listen
+     */
+    public static List<UdpRelay> pair(final InetSocketAddress a, final InetSocketAddress b, final long seed)
+            throws IOException {
+        final DatagramSocket facesA = socket();
+        final DatagramSocket facesB = socket();
+        return List.of(new UdpRelay(b, seed, facesA, facesB), new UdpRelay(a, seed + 1, facesB, facesA));
+    }
+
     /** The relay's port on loopback. */
     public int port() {
         return socket.getLocalPort();
@@ -113,7 +139,7 @@
 
     private void send(final DatagramPacket out) {
         try {
-            socket.send(out);
+            exit.send(out);
         } catch (final IOException e) {
             // A datagram may be lost: that is its nature.
         }
--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -6,21 +6,25 @@
 import driftchute.bench.Fields;
 import driftchute.bench.MalformedLineException;
 import driftchute.bench.SettingsReader;
+import driftchute.node.fleet.FleetSettings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What a courier is told at its start: the file of the configuration, with the environment's word on addresses and
  * folders. Unknown keys are ignored; a value that cannot be read ends the start with one line that names it. The second
- * address may be absent: then {@code mgmt} is null.
+ * address may be absent: then {@code mgmt} is null; {@code fleet} is null where couriers share nothing.
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress mgmt, InetSocketAddress discovery, Path state,
               long seed, int sockets, long diskBytes, JsonNode known, Courier.Settings settings,
-              long connectTimeoutUs) {
+              long connectTimeoutUs, FleetSettings fleet) {
 
     private static final int MOST_PORT = 65_535;
     private static final int HEX = 16;
@@ -58,7 +62,7 @@
         // Two name spaces: "discovery" is an address outside the settings, and a way of asking inside them.
         final Map<String, String> values = new HashMap<>();
         root.properties().forEach(entry -> {
-            if (!entry.getKey().equals("known") && !entry.getKey().equals("settings")) {
+            if (!Set.of("known", "settings", "fleet").contains(entry.getKey())) {
                 flatten(entry.getKey(), entry.getValue(), values);
             }
         });
@@ -85,7 +89,8 @@
                     address("discovery", fields.text("discovery")), Path.of(fields.text("state")),
                     seed(fields.text("seed", "0")), (int) atLeastOne(fields, "limits.sockets", 1024),
                     atLeastOne(fields, "limits.disk_mb", 1) * BYTES_PER_MB, root.path("known"),
-                    SettingsReader.read(settings), atLeastOne(settings, "limits.connect_timeout", 1_000_000));
+                    SettingsReader.read(settings), atLeastOne(settings, "limits.connect_timeout", 1_000_000),
+                    fleet(root, fields, settings));
         } catch (final MalformedLineException e) {
             throw new BadConfigException(e.getMessage());
         } catch (final IllegalArgumentException e) {
@@ -93,6 +98,26 @@
         }
     }
 
+    /** What couriers share, or null: where the configuration has no {@code fleet} block, or the settings allow no peers. */
+    private static FleetSettings fleet(final JsonNode root, final Fields fields, final Fields settings) {
+        if (root.path("fleet").isMissingNode() || root.path("fleet").isNull()) {
+            return null;
+        }
+        final var block = FleetSettings.block(root.path("fleet"));
+        final List<InetSocketAddress> peers = Arrays.stream(fields.list("peers"))
+                .map(text -> address("peers", text)).toList();
+        if (!List.of("1", "true").contains(settings.text("limits.may_tell", "0")) || peers.isEmpty()) {
+            Log.info("fleet: off: " + (peers.isEmpty() ? "no 'peers'" : "'limits.may_tell' does not allow peers"));
+            return null;
+        }
+        final long couriers = settings.whole("balancers", peers.size());
+        if (couriers != peers.size()) {
+            throw new IllegalArgumentException("fleet: " + peers.size() + " peers for " + couriers + " couriers");
+        }
+        return new FleetSettings(address("peer_listen", fields.text("peer_listen")), peers,
+                (int) settings.whole("me", -1), block);
+    }
+
     /** Nested values as the wire names them: paths with dots, plain lists joined, lists of objects counted. */
     private static void flatten(final String path, final JsonNode value, final Map<String, String> into) {
         final String prefix = path.isEmpty() ? "" : path + ".";
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -2,6 +2,7 @@
 
 import driftchute.Control;
 import driftchute.Courier;
+import driftchute.node.fleet.FleetLink;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * The one that calls {@link Control}: it tells it what the sockets brought in a pass of the event loop, lets it decide
@@ -38,6 +40,8 @@
     private static final long HEARD_FRESH_US = 60_000;
     /** Beyond that by so much, its silence is worth a line. */
     private static final long SILENT_US = 200_000;
+    /** How often the couriers that share what they know are told what this one knows and wants. */
+    private static final long REPORT_MS = 100;
     /** Share of the store that makes a pile. */
     private static final double PILE_SHARE = 0.1;
 
@@ -91,6 +95,9 @@
     /** Another process decides and sends now; this one ends the calls that are out. */
     private boolean leaving;
     private ScheduledFuture<?> following;
+    /** What the couriers of the tier share; null where they share nothing, or while this process does not serve. */
+    private FleetLink fleet;
+    private final AtomicBoolean viewDue = new AtomicBoolean();
     /** What earlier processes learnt of destinations that the list does not name yet. */
     private final Map<Long, Courier.Memory> untold = new HashMap<>();
     /** The end of the latest wait of each destination that was taken over from them. */
@@ -144,9 +151,40 @@
             following = loop.scheduleWithFixedDelay(this::followPredecessors, FOLLOW_MS, FOLLOW_MS,
                     TimeUnit.MILLISECONDS);
         }
+        join();
         touch();
     }
 
+    /** From now on this courier shares what it knows, where it may: only the process that serves does. */
+    private void join() {
+        if (config.fleet() != null) {
+            fleet = new FleetLink(config.fleet(), config.settings().guarantees(), config.seed(), config.state(),
+                    clock::nowUs, Log::event, view -> {
+                        // However far the traffic is behind, one reading of the latest view is enough.
+                        if (viewDue.compareAndSet(false, true)) {
+                            loop.execute(this::readView);
+                        }
+                    });
+            control.onFleet(clock.nowUs(), fleet.view());
+            fleet.start();
+            loop.scheduleWithFixedDelay(() -> fleet.report(control.reports(clock.nowUs())), REPORT_MS, REPORT_MS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void readView() {
+        viewDue.set(false);
+        control.onFleet(clock.nowUs(), fleet.view());
+        touch();
+    }
+
+    /** Says nothing more to the other couriers; {@code leaves}: no process of this one goes on just now. */
+    private void part(final boolean leaves) {
+        if (fleet != null) {
+            fleet.end(leaves);
+        }
+    }
+
     /** Takes up what a process that ends has left since, and what its calls have told it. */
     private void followPredecessors() {
         if (leaving) {
@@ -543,6 +581,7 @@
 
     /** This process ends at that moment: nothing is begun that cannot end by then. */
     void stopping(final long stopUs) {
+        part(true);
         control.onStopping(clock.nowUs(), stopUs);
         touch();
     }
@@ -553,6 +592,7 @@
      */
     void leave() {
         leaving = true;
+        part(false);
         pass();
         // Written later, it would meet waits that the next process is told of and this one is not.
         endpoints.giveBackUnwritten();
--- /dev/null
+++ b/src/main/java/driftchute/node/fleet/FleetLink.java
@@ -0,0 +1,271 @@
+package driftchute.node.fleet;
+
+import driftchute.Courier;
+import driftchute.fleet.Events;
+import driftchute.fleet.Moment;
+import driftchute.fleet.shared.SharedState;
+import driftchute.fleet.Tier;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * The control thread: owns the shared state and the peers' socket. The traffic's event loop reads {@link #view()} (one
+ * volatile reference) and hands reports to {@link #report}, which never blocks: beyond its bound a report is dropped and
+ * counted.
+ */
+public final class FleetLink {
+    private static final int MOST_REPORTS = 1024;
+    /** One byte more than a courier may send, so that a longer datagram is seen to be longer. */
+    private static final int READ_BYTES = 257;
+    /** How often the address is tried again while another process of this courier still holds it. */
+    private static final long BIND_AGAIN_MS = 20;
+    /** How often the log tells what was dropped, where something was. */
+    private static final long TELL_MS = 5_000;
+    /** The control thread looks again at least so often: reports come ten times a second. */
+    private static final long TURN_US = 50_000;
+    private static final long US_PER_MS = 1000;
+    private static final long END_MS = 200;
+
+    private final FleetSettings settings;
+    private final LongSupplier monoUs;
+    private final Supplier<SharedState> start;
+    private final Events events;
+    private final Consumer<Courier.FleetView> changed;
+    private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("fleet", true),
+            NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<List<Courier.Report>> reports = new ArrayBlockingQueue<>(MOST_REPORTS);
+    private final AtomicBoolean turnDue = new AtomicBoolean();
+    private final AtomicLong droppedReports = new AtomicLong();
+    private volatile Courier.FleetView view;
+    private SharedState state;
+    private Channel channel;
+    private boolean ended;
+    /** Datagrams from strangers, and what the log was last told of drops; only the control thread looks. */
+    private long strangers;
+    private String told = "";
+
+    /**
+     * @param folder the state folder, for the incarnation
+     * @param monoUs this process's monotonic clock, us; read on both threads
+     * @param changed told each new view, on the control thread
+     */
+    public FleetLink(final FleetSettings settings, final Courier.Guarantees guarantees, final long seed, final Path folder,
+                     final LongSupplier monoUs, final Events events, final Consumer<Courier.FleetView> changed) {
+        this.settings = settings;
+        this.monoUs = monoUs;
+        this.events = events;
+        this.changed = changed;
+        for (int peer = 0; peer < settings.peers().size(); peer++) {
+            numbers.put(settings.peers().get(peer), peer);
+        }
+        final Tier tier = new Tier(settings.self(), settings.peers().size(), settings.block().epoch());
+        final IncarnationFile kept = new IncarnationFile(folder);
+        this.start = () -> {
+            try {
+                return new SharedState(tier, settings.block(), guarantees, seed, kept.read() + 1, now(), events, next -> {
+                    try {
+                        kept.write(next);
+                    } catch (final IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                }, this::send);
+            } catch (final IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        };
+        this.view = new Courier.FleetView(settings.block().reserve(), Map.of(), Map.of());
+    }
+
+    /** Takes the peers' address as soon as no other process of this courier holds it, and begins. Any thread. */
+    public void start() {
+        loop.execute(this::bind);
+        loop.scheduleWithFixedDelay(this::tell, TELL_MS, TELL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void bind() {
+        if (ended) {
+            return;
+        }
+        new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
+                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(final ChannelHandlerContext ctx, final DatagramPacket packet) {
+                        came(packet);
+                    }
+
+                    @Override
+                    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+                        // A peer's closed port comes back as an error of this socket: a datagram was lost, no more.
+                        if (!(cause instanceof IOException)) {
+                            failed("a datagram", cause);
+                        }
+                    }
+                }).bind(settings.listen()).addListener(done -> {
+                    if (done.isSuccess()) {
+                        channel = ((io.netty.channel.ChannelFuture) done).channel();
+                        begin();
+                    } else {
+                        loop.schedule(this::bind, BIND_AGAIN_MS, TimeUnit.MILLISECONDS);
+                    }
+                });
+    }
+
+    private void begin() {
+        if (ended) {
+            channel.close();
+            return;
+        }
+        try {
+            state = start.get();
+            events.event("fleet_begun", "self", settings.self(), "peers", settings.peers().size(), "epoch",
+                    settings.block().epoch(), "version", settings.block().version(), "incarnation", state.incarnation());
+            turn();
+        } catch (final UncheckedIOException e) {
+            failed("the state folder", e);
+            channel.close();
+        }
+    }
+
+    private void came(final DatagramPacket packet) {
+        final Integer from = numbers.get(packet.sender());
+        if (from == null || state == null || ended) {
+            strangers++;
+            return;
+        }
+        final ByteBuf content = packet.content();
+        final byte[] bytes = new byte[content.readableBytes()];
+        content.readBytes(bytes);
+        guarded("a datagram", () -> {
+            state.receive(now(), from, bytes);
+            // What a message makes due (an answer that is waited for, a rumour) does not wait for the next turn.
+            state.tick(now());
+        });
+        publish();
+    }
+
+    /** One turn of the control thread: what the traffic reports, what is due, and a fresh view. */
+    private void turn() {
+        turnDue.set(false);
+        if (ended || state == null) {
+            return;
+        }
+        for (List<Courier.Report> next = reports.poll(); next != null; next = reports.poll()) {
+            final List<Courier.Report> batch = next;
+            guarded("a report", () -> state.reports(now(), batch));
+        }
+        final long[] dueUs = {monoUs.getAsLong() + TURN_US};
+        guarded("a turn", () -> dueUs[0] = Math.min(dueUs[0], state.tick(now())));
+        publish();
+        loop.schedule(this::turnIfNotDue, Math.max(1, dueUs[0] - monoUs.getAsLong()), TimeUnit.MICROSECONDS);
+    }
+
+    private void turnIfNotDue() {
+        if (turnDue.compareAndSet(false, true)) {
+            turn();
+        }
+    }
+
+    /** A fault in the shared state may cost freshness: it never ends the thread, and rations and leases run out by themselves. */
+    private void guarded(final String what, final Runnable step) {
+        try {
+            step.run();
+        } catch (final RuntimeException e) {
+            failed(what, e);
+        }
+    }
+
+    private void failed(final String what, final Throwable cause) {
+        events.event("fleet_failure", "what", what, "cause", String.valueOf(cause), "at",
+                cause.getStackTrace().length == 0 ? "" : cause.getStackTrace()[0].toString());
+    }
+
+    private void publish() {
+        if (state != null && !ended) {
+            final Courier.FleetView next = state.view(now());
+            if (!next.equals(view)) {
+                view = next;
+                changed.accept(next);
+            }
+        }
+    }
+
+    private void send(final int peer, final byte[] datagram) {
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), settings.peers().get(peer)));
+    }
+
+    private Moment now() {
+        return new Moment(monoUs.getAsLong(), System.currentTimeMillis());
+    }
+
+    /** What the couriers share, as it was last published; never null. Any thread. */
+    public Courier.FleetView view() {
+        return view;
+    }
+
+    /** What the traffic knows and wants. Any thread; never blocks. */
+    public void report(final List<Courier.Report> batch) {
+        if (!reports.offer(batch)) {
+            droppedReports.incrementAndGet();
+        }
+    }
+
+    /**
+     * Ends: duties are given up, and where {@code leaves}, the peers hear that this courier leaves; in an upgrade it does not.
+     * Any thread; returns at once.
+     */
+    public void end(final boolean leaves) {
+        loop.execute(() -> {
+            if (state != null && !ended) {
+                guarded("the end", () -> state.end(now(), leaves));
+            }
+            ended = true;
+            if (channel != null) {
+                channel.close();
+            }
+            group.shutdownGracefully(0, END_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void tell() {
+        if (state == null) {
+            return;
+        }
+        final String drops = "strangers " + strangers + ", reports " + droppedReports.get() + ", frames " + state.drops();
+        if (!drops.equals(told) && (strangers > 0 || droppedReports.get() > 0 || !state.drops().isEmpty())) {
+            told = drops;
+            events.event("fleet_dropped", "msg", drops);
+        }
+        events.event("fleet_state", "msg", state.describe(now()));
+    }
+}
--- /dev/null
+++ b/src/main/java/driftchute/node/fleet/FleetSettings.java
@@ -0,0 +1,50 @@
+package driftchute.node.fleet;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import driftchute.fleet.FleetBlock;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * What a courier needs to share state: where its datagrams come in, the peers' addresses by number, which of them it is, and
+ * the {@code fleet} block of the configuration.
+ */
+public record FleetSettings(InetSocketAddress listen, List<InetSocketAddress> peers, int self, FleetBlock block) {
+    private static final ObjectMapper JSON = JsonMapper.builder()
+            .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT).build();
+
+    /** @throws IllegalArgumentException where the addresses and the numbers do not fit together */
+    public FleetSettings {
+        peers = List.copyOf(peers);
+        if (self < 0 || self >= peers.size()) {
+            throw new IllegalArgumentException("fleet: 'settings.me' is " + self + ", of " + peers.size() + " peers");
+        }
+        if (peers.stream().distinct().count() != peers.size()) {
+            throw new IllegalArgumentException("fleet: 'peers' names an address twice");
+        }
+    }
+
+    /**
+     * Reads the block.
+     *
+     * @throws IllegalArgumentException with one line that names what is wrong
+     */
+    public static FleetBlock block(final JsonNode node) {
+        try {
+            return JSON.treeToValue(node, FleetBlock.class);
+        } catch (final JsonProcessingException e) {
+            Throwable cause = e;
+            while (cause.getCause() != null && cause.getCause() != cause) {
+                cause = cause.getCause();
+            }
+            final String reason = cause instanceof JsonProcessingException bad ? bad.getOriginalMessage()
+                    : String.valueOf(cause.getMessage());
+            final String line = reason.lines().findFirst().orElse("unreadable");
+            throw new IllegalArgumentException(line.startsWith("fleet: ") ? line : "fleet: " + line, e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/fleet/Load.java
@@ -0,0 +1,46 @@
+package driftchute.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+
+/** Clients that hand messages in at a set pace, each courier its own, until they are told to stop. */
+final class Load implements AutoCloseable {
+    final Ledger ledger = new Ledger();
+    private final List<Thread> clients = new ArrayList<>();
+    private volatile boolean stopped;
+
+    /** Begins; {@code perSecond}: messages a second for each courier, by its number. */
+    Load(final Fleet fleet, final double... perSecond) {
+        final AtomicInteger next = new AtomicInteger();
+        for (int courier = 0; courier < perSecond.length; courier++) {
+            final CourierProcess to = fleet.couriers.get(courier);
+            final long gapNs = (long) (TimeUnit.SECONDS.toNanos(1) / perSecond[courier]);
+            final Thread client = new Thread(() -> {
+                for (long dueNs = System.nanoTime(); !stopped; dueNs += gapNs) {
+                    while (!stopped && System.nanoTime() < dueNs) {
+                        LockSupport.parkNanos(dueNs - System.nanoTime());
+                    }
+                    ledger.handIn(to, "m" + next.getAndIncrement(), "safe");
+                }
+            }, "load-" + to.name);
+            client.setDaemon(true);
+            clients.add(client);
+            client.start();
+        }
+    }
+
+    /** Goes on for so long from now. */
+    void run(final String what, final long ns) {
+        final long fromNs = System.nanoTime();
+        Fleet.await(what, () -> System.nanoTime() - fromNs > ns || stopped);
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+        clients.forEach(client -> Fleet.await(client.getName() + " over", () -> !client.isAlive()));
+    }
+}
