SIGTERM: calls still out at the end are settled, those never written as untried

Cause: with nobody standing by, the last turn before the process ends only hung up on clients. The next start has to take such a call for one that may have run: a message that may not be repeated was then ended as undeliverable with no call ever made. (With a next process standing by the last turn already cut the calls off.)

Change: one last turn for both ends of a process. It hangs up on clients and cuts off the calls that are left, each journaled as what it is: not written, never ran; written, may have run.

A call that was written and not answered: without it left as out, with it recorded as ended, and not sent again.

--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -208,7 +208,7 @@
         host.stopping(stopUs);
         loop.schedule(() -> {
             intake.closeListener();
-            stopWhen(stopUs, () -> host.idle() && intake.isEmpty(), intake::hangUp);
+            stopWhen(stopUs, () -> host.idle() && intake.isEmpty());
         }, LISTEN_MS, TimeUnit.MILLISECONDS);
         loop.schedule(intake::hangUp, HANG_UP_MS, TimeUnit.MILLISECONDS);
     }
@@ -221,10 +221,7 @@
         host.leave();
         handover.letGo();
         loop.execute(() -> stopListening(fromUs + LEAVE_LISTEN_MS * US_PER_MS));
-        stopWhen(fromUs + STOP_MS * US_PER_MS, () -> host.idle() && intake.isEmpty(), () -> {
-            intake.hangUp();
-            host.cutOff();
-        });
+        stopWhen(fromUs + STOP_MS * US_PER_MS, () -> host.idle() && intake.isEmpty());
     }
 
     /** Listens until the next process does, or does not come. */
@@ -246,10 +243,12 @@
         }
     }
 
-    private void stopWhen(final long stopUs, final BooleanSupplier done, final Runnable last) {
+    /** The last turn: what the end of the process would cut off is ended before, and recorded as what it is. */
+    private void stopWhen(final long stopUs, final BooleanSupplier done) {
         loop.scheduleWithFixedDelay(() -> {
             if (done.getAsBoolean() || clock.nowUs() >= stopUs) {
-                last.run();
+                intake.hangUp();
+                host.cutOff();
                 stopped.countDown();
             }
         }, STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/test/java/driftchute/node/ShutdownTest.java
@@ -0,0 +1,98 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A planned restart in the middle of calls: what the journal then says of each message, and what the next start does. */
+@Timeout(120)
+final class ShutdownTest {
+    private static final List<String> IDS = IntStream.range(0, 8).mapToObj(number -> "m" + number).toList();
+
+    @TempDir
+    private Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        rig = new Rig(folder);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        rig.close();
+    }
+
+    /** What the courier owes by its journal, whether its process lives or not. */
+    private Collection<Held> owed() {
+        try (FileChannel file = FileChannel.open(folder.resolve("state/journal"))) {
+            final JournalReader reader = new JournalReader(file);
+            reader.read();
+            return reader.live().values();
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void terminate() throws InterruptedException {
+        assertTrue(rig.terminate().waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    private long called() {
+        return IDS.stream().filter(id -> rig.first.requests.stream().anyMatch(call -> id.equals(
+                call.header("X-Request-ID")) || call.text().contains('"' + id + '"'))).count();
+    }
+
+    private void restartWhileCallsConnect(final String kind) throws Exception {
+        rig.connectTimeoutUs = 100_000_000;
+        rig.first.ignore();
+        rig.start();
+        for (final String id : IDS) {
+            assertEquals(202, rig.handIn(id, kind).status());
+        }
+        rig.await("calls that connect", () -> owed().stream().anyMatch(Held::isOut));
+        terminate();
+    }
+
+    /** A call that never had a connection has not run, and its message loses nothing by the restart. */
+    @Test
+    void whatHadNoConnectionAtTheEndIsUntriedAndIsCalledByTheNextStart() throws Exception {
+        restartWhileCallsConnect("once");
+        final List<String> tried = owed().stream().filter(one -> one.isOut() || one.firstRunWallUs() != Held.NEVER)
+                .map(one -> one.id).toList();
+        rig.first.listen();
+        rig.first.script((request, connection) -> connection.answer(200, "[" + request.text() + "]"));
+        rig.start();
+        rig.await("an end to each", () -> called() + IDS.stream().filter(id -> rig.noticed(id, "")).count()
+                >= IDS.size());
+        assertEquals(IDS.size(), called(), "called, of " + IDS.size() + " resumed; ended with no call: " + rig.notices);
+        assertEquals(List.of(), tried, "messages said to be out, or to have run");
+    }
+
+    /** A call that was written may have run: recorded as such, so that it is not sent again. */
+    @Test
+    void whatWasWrittenAtTheEndMayHaveRunAndIsNotSentAgain() throws Exception {
+        rig.first.script((request, connection) -> { });
+        rig.start();
+        assertEquals(202, rig.handIn("m0", "once").status());
+        rig.await("its call", () -> rig.first.requests.size() == 1);
+        terminate();
+        assertTrue(owed().stream().allMatch(one -> !one.isOut() && one.firstRunWallUs() != Held.NEVER)
+                || owed().isEmpty() && rig.noticed("m0", "undeliverable"), "recorded as what it is");
+        rig.start();
+        rig.await("its end", () -> rig.noticed("m0", "undeliverable"));
+        assertEquals(1, rig.first.requests.size());
+    }
+}
