Read a call of several messages as one though some of them are out of time

Seen: a call told how it had been written by how many of its messages were left. When all but one were out of time, the answer to several was read as the answer to one: 200 with "deferred" or "fault" for the last message counted as delivered, and so did a 200 that was cut off behind its first line. The message got no further attempt and no notice: lost. A message that was alone in its call left it a moment before the call's end, so that a 200 whose head was under way counted for nothing. Change: a call keeps that it was written for several; the last message's end is the call's. One that leaves before the first byte is written surely never ran. Measured: CallCrossingTest, two messages in one call, one out of time before the answer: without the change the deferred one never went again and the cut off one got no notice within 20 s (2 of 2 failed); with it both end. Where the answer comes first nothing changes.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -144,6 +144,8 @@
         private Reader reader;
         private boolean started;
         private boolean written;
+        /** It was written with several messages, however many of them still wait for its answer. */
+        private boolean bulk;
 
         Call(final Pool pool, final long endpoint, final List<Host.Parcel> parcels, final long sentUs) {
             this.pool = pool;
@@ -336,10 +338,13 @@
         return result == Result.CANCELLED ? Result.NOT_SENT : Result.NO_CONNECTION;
     }
 
-    /** A message whose own time is up leaves a call that others still wait for. It is not sent again. */
+    /** A message whose own time is up leaves a call that others still wait for; the last one ends it. */
     private void expire(final Call call, final Host.Parcel parcel) {
-        if (calls.contains(call) && call.parcels.remove(parcel)) {
-            host.outcome(parcel, call, new Answer(Result.TIMED_OUT, false, 0, null));
+        if (call.parcels.equals(List.of(parcel))) {
+            abandon(call, Result.TIMED_OUT);
+        } else if (calls.contains(call) && call.parcels.remove(parcel)) {
+            final Result result = call.reader == null ? Result.NO_CONNECTION : Result.TIMED_OUT;
+            host.outcome(parcel, call, new Answer(result, false, 0, null));
         }
     }
 
@@ -414,6 +419,7 @@
             call = next;
             call.channel = context.channel();
             call.reader = this;
+            call.bulk = call.parcels.size() > 1;
             line = null;
             head = null;
             body = new ByteArrayOutputStream(0);
@@ -493,7 +499,7 @@
 
         /** True if the answer to this call says so in its first line; for several messages only all of it tells. */
         private boolean isDelivered(final Call of) {
-            return of == call && line != null && line.status().code() == OK && of.written && of.parcels.size() == 1
+            return of == call && line != null && line.status().code() == OK && of.written && !of.bulk
                     && line.protocolVersion().majorVersion() == 1;
         }
 
@@ -531,7 +537,7 @@
             final long waitUs = waitUs(head);
             told(done, waitUs);
             final Answer all = answer(head, waitUs);
-            if (done.parcels.size() > 1 && head.status().code() == OK) {
+            if (done.bulk && head.status().code() == OK) {
                 tellEach(done, all);
             } else {
                 tell(done, all);
@@ -601,14 +607,13 @@
     // ---------------------------------------------------------------- requests and answers
 
     private FullHttpRequest request(final Call call) {
-        final boolean many = call.parcels.size() > 1;
-        final byte[] body = many ? bulk(call) : call.parcels.get(0).open().held.body();
+        final byte[] body = call.bulk ? bulk(call) : call.parcels.get(0).open().held.body();
         final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                many ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
+                call.bulk ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, call.pool.address.getHostString());
         request.headers().set("X-Timeout-Ms", Math.max(1, (call.deadlineUs - clock.nowUs()) / US_PER_MS));
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        if (many) {
+        if (call.bulk) {
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         } else {
             final Held held = call.parcels.get(0).open().held;
--- a/src/test/java/driftchute/node/CallCrossingTest.java
+++ b/src/test/java/driftchute/node/CallCrossingTest.java
@@ -14,9 +14,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Calls that cross something: a drain told while they connect. */
+/** Calls that cross something: a drain told while they connect, a message's end before its call's. */
 @Timeout(120)
 final class CallCrossingTest {
+    private static final String SHORT = "X-Timeout-Ms: 1500";
+    private static final String LONG = "X-Timeout-Ms: 20000";
+
     @TempDir
     private Path folder;
     private Rig rig;
@@ -36,6 +39,11 @@
                 || id.equals(request.header("X-Request-ID")));
     }
 
+    private long callsWith(final String id) {
+        return rig.first.requests.stream().filter(request -> request.text().contains(id)
+                || id.equals(request.header("X-Request-ID"))).count();
+    }
+
     // ---------------------------------------------------------------- a drain
 
     /** First the call, then the drain, then the connection: no byte of it may go there any more. */
@@ -72,4 +80,66 @@
         assertEquals(List.of(), rig.notices);
         assertEquals(1, rig.first.requests.size());
     }
+
+    // ---------------------------------------------------------------- a message's end, and its call's
+
+    /** Hands in two messages that wait for an endpoint, and so share a call; the first one's time is up long before. */
+    private FakeServer.Connection shareACall() throws IOException {
+        rig.hosts = Rig.host("e1", rig.first, "Terminating");
+        rig.first.script((request, connection) -> { });
+        rig.start();
+        rig.await("the watch", () -> !rig.watches.isEmpty());
+        assertEquals(202, rig.send(Rig.message("m1", "once").replace(LONG, SHORT)).status());
+        assertEquals(202, rig.handIn("m2", "once").status());
+        rig.change(43, Rig.host("e1", rig.first, "Ready"));
+        rig.await("the call", () -> !rig.first.requests.isEmpty());
+        assertEquals("POST /inbox/bulk HTTP/1.1", rig.first.requests.get(0).line());
+        return rig.first.requests.get(0).connection();
+    }
+
+    private static String states(final String first, final String second) {
+        return "[{\"id\":\"m1\",\"state\":\"" + first + "\"},{\"id\":\"m2\",\"state\":\"" + second + "\"}]";
+    }
+
+    private void answerAgainWith(final String state) {
+        rig.first.script((request, connection) -> {
+            if (request.line().contains("bulk")) {
+                connection.answer(200, states(state, state));
+            } else {
+                connection.answer(200, "");
+            }
+        });
+    }
+
+    /** First the end of one message's time, then the answer: the other one still has the state that it names. */
+    @Test
+    void theStateOfAMessageCountsThoughTheOtherOneOfItsCallIsOutOfTime() throws IOException {
+        final FakeServer.Connection connection = shareACall();
+        rig.await("the first one's end", () -> rig.noticed("m1", "undeliverable"));
+        answerAgainWith("accepted");
+        connection.answer(200, states("accepted", "deferred"));
+        rig.await("the other one's next call", () -> callsWith("m2") == 2);
+        assertEquals(1, callsWith("m1"));
+    }
+
+    /** First the answer, then the end of the time: both go on. */
+    @Test
+    void theStatesCountWhereTheAnswerComesFirst() throws IOException {
+        final FakeServer.Connection connection = shareACall();
+        answerAgainWith("accepted");
+        connection.answer(200, states("accepted", "deferred"));
+        rig.await("the other one's next call", () -> callsWith("m2") == 2);
+        assertEquals(1, callsWith("m1"));
+        assertEquals(List.of(), rig.notices);
+    }
+
+    /** Of several messages only the whole answer tells, also of the one that is left of them. */
+    @Test
+    void aFirstLineDeliversNoneOfSeveralThoughOneIsLeft() throws IOException {
+        final FakeServer.Connection connection = shareACall();
+        rig.await("the first one's end", () -> rig.noticed("m1", "undeliverable"));
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n[{\"id\":\"m2\",");
+        connection.reset();
+        rig.await("the other one's end", () -> rig.noticed("m2", "undeliverable"));
+    }
 }
