Let calls wait for a descriptor instead of losing their messages

Seen: with no descriptor left Netty hands out a channel that was never made; its future is told on the thread of GlobalEventExecutor. There abandon() ran beside the event loop, took the call out and failed in closing that channel, so that its messages never got an outcome: held until their time was up, never ended. Each such call also counted as an open connection for ever. Past Endpoints' own share of descriptors calls ended as not sent at once, and messages could use up all attempts in a moment. Change: such a call closes the connection that is idle longest and asks again every 20 ms, for as long as a connection may take to come up; then it ends as not sent. Measured: CallCrossingTest with the process's limit set to what it uses (prlimit) under two messages and raised again: without the change neither was called within 20 s (IllegalStateException in DefaultPromise's log), with it both are, once.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -72,6 +72,8 @@
     private static final long ANSWER_MS = 500;
     /** What belongs to no call may still come right behind an answer; a connection rests so long before its next. */
     private static final long REST_US = 5_000;
+    /** Before a call asks for a descriptor again. */
+    private static final long ROOM_US = 20_000;
     /** A number as an answer may tell it: no sign, no exponent, no word. */
     private static final Pattern NUMBER = Pattern.compile("\\d{1,12}(\\.\\d{1,18})?");
     /** No wait or limit is believed beyond these: an hour and a million calls a second. */
@@ -85,6 +87,7 @@
     private final Bootstrap bootstrap;
     private final ObjectMapper json = new ObjectMapper();
     private final long idleUs;
+    private final long connectTimeoutUs;
     private final Map<Long, Pool> pools = new HashMap<>();
     private final Set<Call> calls = new HashSet<>();
     private int connections;
@@ -97,8 +100,9 @@
         this.loop = loop;
         this.host = host;
         this.idleUs = (long) (IDLE_SHARE * config.settings().limits().idleCloseUs());
+        this.connectTimeoutUs = config.connectTimeoutUs();
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (config.connectTimeoutUs() / US_PER_MS))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeoutUs / US_PER_MS))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
@@ -220,11 +224,9 @@
         return (int) Math.max(1, SOCKET_SHARE * host.descriptors());
     }
 
-    private void makeRoom() {
-        if (connections >= mostConnections()) {
-            pools.values().stream().filter(pool -> !pool.idle.isEmpty()).map(pool -> pool.idle.peekFirst())
-                    .min(Comparator.comparingLong(reader -> reader.idleSinceUs)).ifPresent(Reader::close);
-        }
+    private void closeLongestIdle() {
+        pools.values().stream().filter(pool -> !pool.idle.isEmpty()).map(pool -> pool.idle.peekFirst())
+                .min(Comparator.comparingLong(reader -> reader.idleSinceUs)).ifPresent(Reader::close);
     }
 
     // ---------------------------------------------------------------- calls
@@ -291,13 +293,21 @@
     }
 
     private void connect(final Call call) {
-        makeRoom();
         if (connections >= mostConnections()) {
-            loop.execute(() -> abandon(call, Result.NOT_SENT));
+            closeLongestIdle();
+        }
+        if (connections >= mostConnections()) {
+            waitForRoom(call);
             return;
         }
-        connections++;
         final ChannelFuture connecting = bootstrap.connect(call.pool.address);
+        if (!connecting.channel().isRegistered()) {
+            // The system has no descriptor left. This future is told on a thread of its own, and its channel is none.
+            closeLongestIdle();
+            waitForRoom(call);
+            return;
+        }
+        connections++;
         call.channel = connecting.channel();
         call.channel.closeFuture().addListener(closed -> connections--);
         connecting.addListener(done -> {
@@ -311,6 +321,15 @@
         });
     }
 
+    /** A call for which no descriptor is free comes again, for as long as a connection may take to come up. */
+    private void waitForRoom(final Call call) {
+        if (clock.nowUs() + ROOM_US < call.sentUs + connectTimeoutUs) {
+            later(call, ROOM_US, () -> dispatch(call));
+        } else {
+            loop.execute(() -> abandon(call, Result.NOT_SENT));
+        }
+    }
+
     /**
      * Ends a call from our side. Its connection is closed before the outcome is told, so that no further attempt
      * of a message can meet this one.
--- a/src/test/java/driftchute/node/CallCrossingTest.java
+++ b/src/test/java/driftchute/node/CallCrossingTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -14,7 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Calls that cross something: a drain told while they connect, a message's end before its call's. */
+/** Calls that cross something: a drain told while they connect, a message's end before its call's, no descriptor. */
 @Timeout(120)
 final class CallCrossingTest {
     private static final String SHORT = "X-Timeout-Ms: 1500";
@@ -142,4 +143,33 @@
         connection.reset();
         rig.await("the other one's end", () -> rig.noticed("m2", "undeliverable"));
     }
+
+    // ---------------------------------------------------------------- no descriptor
+
+    /** What a call needs is lacking for a while: its message loses neither its attempts nor its end. */
+    @Test
+    void aCallWithoutADescriptorGoesOnceThereIsOne() throws Exception {
+        rig.first.script((request, connection) -> connection.answer(200, "", "Connection: close"));
+        rig.start();
+        try (Socket client = rig.connect()) {
+            assertEquals(202, Rig.send(client, Rig.message("m0", "once")).status());
+            rig.await("the first call's end", () -> sawAt(rig.first, "m0") && rig.first.connections.get(0).ended);
+            final long courier = ProcessHandle.current().children().filter(ProcessHandle::isAlive)
+                    .mapToLong(ProcessHandle::pid).max().orElseThrow();
+            final int used = Path.of("/proc/" + courier + "/fd").toFile().list().length;
+            limit(courier, Integer.toString(used));
+            assertEquals(202, Rig.send(client, Rig.message("m1", "once")).status());
+            // Its answer comes in a pass after the one in which the first one's call was begun.
+            assertEquals(202, Rig.send(client, Rig.message("m2", "once")).status());
+            limit(courier, "4096");
+            rig.await("the calls", () -> sawAt(rig.first, "m1") && sawAt(rig.first, "m2"));
+            assertEquals(3, rig.first.requests.size());
+            assertEquals(List.of(), rig.notices);
+        }
+    }
+
+    private static void limit(final long process, final String descriptors) throws Exception {
+        assertEquals(0, new ProcessBuilder("prlimit", "--pid", Long.toString(process), "--nofile=" + descriptors + ":")
+                .start().waitFor());
+    }
 }
