Test: a drain told while a call's connection comes up, also by a whole list

It holds the connection back in the kernel and tells the drain meanwhile, as Terminating, as Gone, and by a whole list that leaves the endpoint out.

--- /dev/null
+++ b/src/test/java/driftchute/node/DrainConnectingTest.java
@@ -0,0 +1,42 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A drain is told while a call's connection is on its way: it comes up after the grace, and nothing goes over it. */
+@Timeout(60)
+final class DrainConnectingTest {
+    /** The kernel asks for a connection again 1 s after the first time; this is long after the grace of 0.25 s. */
+    private static final long CONNECT_TIMEOUT_US = 8_000_000;
+
+    private static String list(final long seq, final boolean whole, final String hosts) {
+        return "{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + hosts + "]}\n";
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Terminating", "Gone", "left out of a whole list"})
+    void whatIsNotWrittenGoesElsewhere(final String how, @TempDir final Path folder) throws IOException {
+        try (Rig rig = new Rig(folder)) {
+            rig.connectTimeoutUs = CONNECT_TIMEOUT_US;
+            rig.start();
+            rig.await("the watch", () -> !rig.watches.isEmpty());
+            rig.first.ignore();
+            // Its call is begun in the turn of the courier's loop that writes this answer.
+            assertEquals(202, rig.handIn("m1", "once").status());
+            final boolean whole = how.startsWith("left");
+            rig.watches.get(rig.watches.size() - 1).chunk(list(42, whole, Rig.host("e2", rig.second, "Ready")
+                    + (whole ? "" : "," + Rig.host("e1", rig.first, how))));
+            rig.await("the list", () -> rig.hasLogged("\"seq\":42"));
+            rig.first.listen();
+            rig.await("the call", () -> rig.first.requests.size() + rig.second.requests.size() == 1);
+            assertTrue(rig.first.requests.isEmpty(), "a call long after the drain was told");
+        }
+    }
+}
