A watch is heard by whole words, and relieved 3 s after its answer

Every byte counted as heard. A watch in the middle of a list that never ended, with a byte a second, was never asked about again; half a list as the answer to a question made the next one wait 2.5 s instead of 1.25 s, so that two failures in a row took longer than the 6 s; and as the dribbling connection was the last one to go, no question beside it ever stood for the 2 s that an empty line takes. A watch that went on with empty lines and left a change out was believed for ever.

Heard is now a whole list, or an empty line that is not in the middle of one. A watch is relieved 3 s after its answer, whatever it says: the next question is asked beside it, and until that one is answered the watch is heeded. A list that is being written keeps its connection for 5 s at most.

ListClockTest drives the watches and a stand-in agent over loopback sockets on one loop with a clock of its own (SteppedLoop): 4 ways to miss a change x 7 moments x 64 pairs of failed questions. A watch that keeps its word costs under 16 questions a minute, which list nothing.

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -41,7 +41,7 @@
         this.config = config;
         this.clock = clock;
         this.host = host;
-        this.watches = new Watches(config.discovery(), loop, clock, config.seed(), this);
+        this.watches = new Watches(config.discovery(), loop, clock::nowUs, config.seed(), this);
     }
 
     /** Begins with the list as this courier last had it; it may be old. */
--- a/src/main/java/driftchute/node/Watches.java
+++ b/src/main/java/driftchute/node/Watches.java
@@ -23,6 +23,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Keeps one question for the changes of the list standing at all times: a watch that speaks, or the next question while
@@ -30,12 +31,16 @@
  * docs/list-clock.md). Two connections are open at most. All of it runs on the event loop's thread.
  */
 final class Watches {
-    /** An empty line is due each 2 s; without a byte for this long a watch counts as silent. */
+    /** An empty line is due each 2 s; without a whole word for this long a watch counts as silent. */
     static final long QUIET_US = 3_000_000;
+    /** So long after its answer a watch is relieved, whatever it says: one that misses changes does not say so. */
+    static final long RELIEF_US = 3_000_000;
     /** Between two questions that nothing answers. */
     static final long PACE_US = 1_250_000;
     /** A question stands for so long at least: where nothing has changed, its answer is an empty line 2 s later. */
     static final long ANSWER_US = 2 * PACE_US;
+    /** A value that is written for longer than this no longer keeps its connection from making room. */
+    private static final long LONGEST_VALUE_US = 2 * ANSWER_US;
     /** Before the next question when a connection has failed: well within the grace of a drain, and no spinning. */
     private static final long REST_LEAST_US = 50_000;
     private static final long REST_MOST_US = 100_000;
@@ -60,7 +65,8 @@
     }
 
     private final EventLoop loop;
-    private final Clock clock;
+    /** The monotonic clock, µs. */
+    private final LongSupplier clock;
     private final Listener listener;
     private final SplittableRandom random;
     private InetSocketAddress address;
@@ -78,7 +84,7 @@
     private long askingSinceUs;
     private boolean lost;
 
-    Watches(final InetSocketAddress address, final EventLoop loop, final Clock clock, final long seed,
+    Watches(final InetSocketAddress address, final EventLoop loop, final LongSupplier clock, final long seed,
             final Listener listener) {
         this.address = address;
         this.loop = loop;
@@ -130,15 +136,15 @@
 
     /** Asks once more; of two connections that are open, the one that has been silent longest makes room. */
     private void ask() {
+        if (newest == null || newest.answered) {
+            askingSinceUs = clock.getAsLong();
+        }
         if (older != null && older.saidUs() < newest.saidUs()) {
             older.close();
         } else if (older != null) {
             newest.close();
             newest = older;
         }
-        if (newest == null || newest.answered) {
-            askingSinceUs = clock.nowUs();
-        }
         if (newest != null) {
             newest.doubted = true;
         }
@@ -154,10 +160,10 @@
             return restUntilUs;
         }
         if (newest.answered) {
-            return Math.max(restUntilUs, newest.heardUs + QUIET_US);
+            return Math.max(restUntilUs, newest.answeredUs + RELIEF_US);
         }
         // While the one before it speaks, there is no hurry.
-        final long patientUs = older == null ? 0 : Math.min(newest.askedUs + ANSWER_US, older.heardUs + QUIET_US);
+        final long patientUs = !speaks(older) ? 0 : Math.min(newest.askedUs + ANSWER_US, older.heardUs + QUIET_US);
         return Math.max(restUntilUs, Math.max(newest.askedUs + PACE_US, patientUs));
     }
 
@@ -165,11 +171,11 @@
         if (due != null) {
             due.cancel(false);
         }
-        due = loop.schedule(this::look, Math.max(0, dueUs() - clock.nowUs()), TimeUnit.MICROSECONDS);
+        due = loop.schedule(this::look, Math.max(0, dueUs() - clock.getAsLong()), TimeUnit.MICROSECONDS);
     }
 
     private void look() {
-        final long nowUs = clock.nowUs();
+        final long nowUs = clock.getAsLong();
         final boolean answered = newest != null && newest.answered;
         if (!answered && nowUs >= askingSinceUs + ANSWER_US && !speaks(older)) {
             lose(false);
@@ -181,8 +187,9 @@
         }
     }
 
+    /** True if that one's last word is not too long ago. */
     private boolean speaks(final Watch watch) {
-        return watch != null && clock.nowUs() < watch.heardUs + QUIET_US;
+        return watch != null && clock.getAsLong() < watch.heardUs + QUIET_US;
     }
 
     private void lose(final boolean answered) {
@@ -196,7 +203,7 @@
     /** One watch, until its connection ends; before it the whole list, where no version is known. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final InetSocketAddress at;
-        private final long askedUs = clock.nowUs();
+        private final long askedUs = clock.getAsLong();
         private Channel channel;
         private JsonValues values;
         private boolean asksWhole;
@@ -206,8 +213,11 @@
         private boolean doubted;
         /** The list has moved to another address since. */
         private boolean moved;
-        /** When a byte of an answer last came. */
+        private long answeredUs;
+        /** When a word last came whole: a list, or an empty line that is not in the middle of one. */
         private long heardUs;
+        /** When a byte of an answer last came: a list that takes its time to be written is not heard, but it comes. */
+        private long byteUs;
         /** The version that it asked for or was told last. */
         private long after;
 
@@ -240,7 +250,8 @@
         }
 
         private long saidUs() {
-            return Math.max(askedUs, heardUs);
+            final long wordUs = Math.max(askedUs, heardUs);
+            return Math.max(wordUs, Math.min(byteUs, wordUs + LONGEST_VALUE_US));
         }
 
         @Override
@@ -278,21 +289,33 @@
         }
 
         private void read(final byte[] bytes) {
-            heardUs = clock.nowUs();
+            byteUs = clock.getAsLong();
             values.read(bytes);
             if (asksWhole || !stands()) {
                 return;
             }
+            if (values.isBetween() && hasLineEnd(bytes)) {
+                heardUs = byteUs;
+            }
             if (!answered && values.isEmptyLines()) {
                 // Nothing has changed since the version asked for: that is news of a list that may be old.
                 answered();
                 listener.unchanged();
             }
-            if (this == newest && values.isBetween()) {
+            if (this == newest && values.isBetween() && heardUs == byteUs) {
                 freshUs = heardUs;
             }
         }
 
+        private static boolean hasLineEnd(final byte[] bytes) {
+            for (final byte one : bytes) {
+                if (one == '\n') {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         private void take(final JsonNode list) {
             if (!stands()) {
                 return;
@@ -316,6 +339,7 @@
                 listener.told(list, at);
                 version = moved ? version : seq;
             }
+            heardUs = byteUs;
             answered();
         }
 
@@ -323,6 +347,7 @@
         private void answered() {
             if (!answered) {
                 answered = true;
+                answeredUs = clock.getAsLong();
                 closeOther();
                 if (lost) {
                     lost = false;
@@ -347,8 +372,8 @@
             }
             if (this == newest) {
                 newest = older;
-                final boolean hurry = heardUs == 0 && !speaks(older);
-                restUntilUs = Math.max(clock.nowUs() + random.nextLong(REST_LEAST_US, REST_MOST_US),
+                final boolean hurry = byteUs == 0 && !speaks(older);
+                restUntilUs = Math.max(clock.getAsLong() + random.nextLong(REST_LEAST_US, REST_MOST_US),
                         hurry ? 0 : askedUs + PACE_US);
             }
             older = null;
--- /dev/null
+++ b/src/test/java/driftchute/node/ListClockTest.java
@@ -0,0 +1,278 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The bounds of docs/list-clock.md, on a clock of the test's own: every way to miss a change, every two failures. */
+@Timeout(300)
+final class ListClockTest {
+    private static final long RULE_MS = 6000;
+    private static final long EMPTY_LINE_MS = 2000;
+    private static final long DRIBBLE_MS = 500;
+    private static final String HALF = "{\n \"seq\":42,\n";
+    /** After its first answer a watch is relieved; the moments lie on both sides of each of these events. */
+    private static final List<Long> MOMENTS = List.of(0L, 700L, 1950L, 2050L, 3150L, 4950L, 5050L);
+
+    /** How the connections that are open miss a change. */
+    private enum Miss { SILENT, HALF, CHUNK_HEADER, DRIBBLE }
+
+    /** How a question fails. */
+    private enum Fail { NOTHING, HEAD, CHUNK_HEADER, HALF, DRIBBLE, RESET, HALF_THEN_RESET, UNAVAILABLE }
+
+    /** An agent that keeps the protocol but for what it is told to spoil, and the watches on it. */
+    private static final class Scene implements Watches.Listener, AutoCloseable {
+        private final SteppedLoop loop = new SteppedLoop();
+        private final AgentOnLoop agent = new AgentOnLoop(loop, this::answer);
+        private final Watches watches = new Watches(agent.address(), loop.mine(), loop::nowUs, 1, this);
+        private final List<String> told = new ArrayList<>();
+        /** What becomes of the next questions. */
+        private final Deque<Fail> fails = new ArrayDeque<>();
+        private boolean changed;
+        private boolean spoilt;
+
+        Scene(final Fail... first) {
+            fails.addAll(List.of(first));
+            loop.mine().execute(() -> {
+                watches.knows(41);
+                watches.follow();
+            });
+            loop.settle();
+        }
+
+        private void answer(final String request, final AgentOnLoop.Peer peer) {
+            final Fail fail = fails.poll();
+            if (fail != null) {
+                spoil(fail, peer);
+                return;
+            }
+            peer.head();
+            if (!request.contains("watch=1")) {
+                peer.chunk(list(42, true));
+                peer.write("0\r\n\r\n");
+            } else if (changed && !request.contains("after=42")) {
+                peer.chunk(list(42, false));
+            } else {
+                emptyLine(peer, spoilt);
+            }
+        }
+
+        private void emptyLine(final AgentOnLoop.Peer peer, final boolean then) {
+            loop.mine().schedule(() -> {
+                if (peer.isOpen() && spoilt == then) {
+                    peer.chunk("\n");
+                    emptyLine(peer, then);
+                }
+            }, EMPTY_LINE_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private static void spoil(final Fail fail, final AgentOnLoop.Peer peer) {
+            if (fail == Fail.UNAVAILABLE) {
+                peer.write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+            } else if (fail != Fail.NOTHING && fail != Fail.RESET) {
+                peer.head();
+            }
+            switch (fail) {
+                case CHUNK_HEADER -> peer.write("2F\r\n");
+                case HALF -> peer.chunk("\n" + HALF);
+                case DRIBBLE -> {
+                    peer.chunk(HALF);
+                    peer.repeat("\n", DRIBBLE_MS);
+                }
+                case HALF_THEN_RESET -> {
+                    peer.chunk(HALF);
+                    peer.reset();
+                }
+                case RESET -> peer.reset();
+                default -> { }
+            }
+        }
+
+        /** From now on there is a change, and whoever is open does not hear of it. */
+        void miss(final Miss miss) {
+            changed = true;
+            spoilt = true;
+            agent.peers.stream().filter(AgentOnLoop.Peer::isOpen).forEach(peer -> {
+                switch (miss) {
+                    case HALF -> peer.chunk(HALF);
+                    case CHUNK_HEADER -> peer.write("2F\r\n");
+                    case DRIBBLE -> {
+                        peer.chunk(HALF);
+                        peer.repeat("\n", DRIBBLE_MS);
+                    }
+                    default -> { }
+                }
+            });
+        }
+
+        /** After how many ms the change is told; two connections are open at most. */
+        long untilTold(final long mostMs) {
+            return loop.until(mostMs, () -> {
+                assertTrue(agent.open() <= 2, agent.open() + " connections");
+                return told.contains("42");
+            });
+        }
+
+        long count(final String what) {
+            return told.stream().filter(what::equals).count();
+        }
+
+        @Override
+        public void told(final JsonNode list, final InetSocketAddress from) {
+            told.add(list.path("seq").asText());
+        }
+
+        @Override
+        public void unchanged() {
+            told.add("same");
+        }
+
+        @Override
+        public void lost() {
+            told.add("lost");
+        }
+
+        @Override
+        public void close() {
+            loop.close();
+        }
+    }
+
+    private static String list(final long seq, final boolean whole) {
+        return "{\n \"seq\":" + seq + ",\n \"whole\":" + whole + ",\n \"hosts\":[]}\n";
+    }
+
+    /** The moment is counted from the answer of a watch that is relieved in its time: the first one is at the start. */
+    private static void atMoment(final Scene scene, final long momentMs) {
+        scene.loop.until(RULE_MS, () -> scene.count("same") == 2);
+        scene.loop.pass(momentMs);
+        assertEquals(0, scene.count("lost"));
+    }
+
+    @Test
+    void whateverTwoQuestionsInARowAfterAMissedChangeComeToItIsToldInTime() {
+        long latestMs = 0;
+        for (final Miss miss : Miss.values()) {
+            for (final long momentMs : MOMENTS) {
+                for (final Fail first : Fail.values()) {
+                    for (final Fail second : Fail.values()) {
+                        try (Scene scene = new Scene()) {
+                            atMoment(scene, momentMs);
+                            scene.fails.addAll(List.of(first, second));
+                            scene.miss(miss);
+                            final long afterMs = scene.untilTold(RULE_MS);
+                            assertTrue(afterMs < RULE_MS, miss + " at " + momentMs + ", " + first + ", " + second);
+                            assertTrue(scene.count("lost") <= 1, "one loss is told once");
+                            latestMs = Math.max(latestMs, afterMs);
+                        }
+                    }
+                }
+            }
+        }
+        System.out.println("the latest of all that was told: " + latestMs + " ms after it was missed");
+    }
+
+    /** An agent whose watch lives, but has lost this courier's changes. */
+    @Test
+    void aChangeThatAWatchThatSpeaksLeavesOutIsToldInTime() {
+        for (final long momentMs : MOMENTS) {
+            for (final Fail first : Fail.values()) {
+                try (Scene scene = new Scene()) {
+                    atMoment(scene, momentMs);
+                    scene.fails.add(first);
+                    scene.miss(Miss.SILENT);
+                    scene.agent.peers.stream().filter(AgentOnLoop.Peer::isOpen)
+                            .forEach(peer -> peer.repeat("\n", EMPTY_LINE_MS));
+                    assertTrue(scene.untilTold(RULE_MS) < RULE_MS, first + " at " + momentMs + ": " + scene.told);
+                    assertEquals(0, scene.count("lost"), first + " at " + momentMs);
+                }
+            }
+        }
+    }
+
+    @Test
+    void halfAListThatNeverEndsKeepsNoQuestionFromItsAnswer() {
+        try (Scene scene = new Scene()) {
+            atMoment(scene, 0);
+            scene.agent.peers.stream().filter(AgentOnLoop.Peer::isOpen).forEach(peer -> {
+                peer.chunk(HALF);
+                peer.repeat("\n", DRIBBLE_MS);
+            });
+            scene.spoilt = true;
+            assertTrue(scene.loop.until(3 * RULE_MS, () -> scene.count("same") > 2) < 3 * RULE_MS, "never answered");
+            assertEquals(1, scene.agent.open());
+        }
+    }
+
+    /** Its pieces come for seconds; the questions that are asked beside it come to nothing. */
+    @Test
+    void aLongListThatIsWrittenSlowlyIsReadToItsEnd() {
+        try (Scene scene = new Scene(Fail.NOTHING, Fail.NOTHING, Fail.NOTHING, Fail.NOTHING)) {
+            final AgentOnLoop.Peer slow = scene.agent.peers.get(0);
+            slow.head();
+            final String text = list(42, true);
+            for (int from = 0; from < text.length(); from++) {
+                slow.chunk(text.substring(from, from + 1));
+                scene.loop.pass(3 * 1000 / text.length());
+            }
+            assertEquals(1, scene.count("42"), scene.told.toString());
+        }
+    }
+
+    @Test
+    void aWatchThatKeepsItsWordCostsFewQuestionsAndIsNeverLost() {
+        try (Scene scene = new Scene()) {
+            scene.loop.pass(60_000);
+            assertTrue(scene.agent.requests.size() < 16, scene.agent.requests.size() + " questions in a minute");
+            assertFalse(scene.told.contains("lost"), scene.told.toString());
+            assertTrue(scene.loop.nowUs() - scene.watches.freshUs() < 6_000_000, "an old list");
+        }
+    }
+
+    @Test
+    void whoCannotBeReachedForAWhileIsHeardAtOnceAfterIt() {
+        try (Scene scene = new Scene()) {
+            atMoment(scene, 700);
+            scene.agent.refuse();
+            scene.agent.peers.forEach(AgentOnLoop.Peer::reset);
+            scene.loop.pass(5000);
+            scene.changed = true;
+            scene.agent.listen();
+            assertTrue(scene.untilTold(RULE_MS) <= 200, "within a drain's grace");
+            assertEquals(1, scene.count("lost"));
+        }
+    }
+
+    /** The watch and its relief tell the same change in one turn, in either order. */
+    @Test
+    void whatBothTellCountsAndOneGoesOn() {
+        for (final boolean watchFirst : List.of(true, false)) {
+            try (Scene scene = new Scene()) {
+                atMoment(scene, 3150);
+                assertEquals(2, scene.agent.open());
+                final List<AgentOnLoop.Peer> both = scene.agent.peers.stream()
+                        .filter(AgentOnLoop.Peer::isOpen).toList();
+                both.get(watchFirst ? 0 : 1).chunk(list(43, false));
+                both.get(watchFirst ? 1 : 0).chunk(list(42, false) + list(43, false));
+                scene.loop.settle();
+                assertEquals("43", scene.told.get(scene.told.size() - 1));
+                assertEquals(43, scene.watches.version());
+                both.get(0).chunk(list(40, true));
+                scene.loop.settle();
+                assertEquals(43, scene.watches.version(), "one that is relieved counts no more");
+                assertFalse(both.get(0).isOpen());
+                assertTrue(both.get(1).isOpen());
+            }
+        }
+    }
+}
--- a/src/test/java/driftchute/node/WatchesTest.java
+++ b/src/test/java/driftchute/node/WatchesTest.java
@@ -44,7 +44,7 @@
     private final class Agent implements Watches.Listener {
         private final List<String> told = new CopyOnWriteArrayList<>();
         private final FakeServer server = new FakeServer(this::answer);
-        private final Watches watches = new Watches(Config.address("", server.address()), loop, new Clock(),
+        private final Watches watches = new Watches(Config.address("", server.address()), loop, new Clock()::nowUs,
                 1, this);
         private final List<Act> acts;
         private volatile long lastWordNs;
