After a SIGHUP the old watch draws no questions apart

While the watch at the old address spoke, the questions to the new one were 2.5 s apart, and a refused one rested 1.25 s: of the 4 s after which the new list counts, two questions with no answer took 5 s.

A watch at an address that was left is still heeded, but no longer counts as one that speaks of the list: the questions to the new address are 1.25 s apart, and a refused or reset one is asked again within 0.1 s.

ListClockTest: 64 pairs of failed questions after a move while the old address writes a line each 0.5 s.

--- a/src/main/java/driftchute/node/Watches.java
+++ b/src/main/java/driftchute/node/Watches.java
@@ -187,9 +187,9 @@
         }
     }
 
-    /** True if that one's last word is not too long ago. */
+    /** True if that one's last word is not too long ago; at an address that was left, none tells of the list. */
     private boolean speaks(final Watch watch) {
-        return watch != null && clock.getAsLong() < watch.heardUs + QUIET_US;
+        return watch != null && !watch.moved && clock.getAsLong() < watch.heardUs + QUIET_US;
     }
 
     private void lose(final boolean answered) {
--- a/src/test/java/driftchute/node/ListClockTest.java
+++ b/src/test/java/driftchute/node/ListClockTest.java
@@ -18,6 +18,8 @@
 @Timeout(300)
 final class ListClockTest {
     private static final long RULE_MS = 6000;
+    /** After a SIGHUP the list of the new address counts so much later. */
+    private static final long MOVED_RULE_MS = 4000;
     private static final long EMPTY_LINE_MS = 2000;
     private static final long DRIBBLE_MS = 500;
     private static final String HALF = "{\n \"seq\":42,\n";
@@ -253,6 +255,25 @@
         }
     }
 
+    @Test
+    void twoQuestionsAfterAMoveMayFailWhileTheOldAddressSpeaks() {
+        for (final Fail first : Fail.values()) {
+            for (final Fail second : Fail.values()) {
+                try (Scene scene = new Scene()) {
+                    atMoment(scene, 700);
+                    scene.agent.peers.stream().filter(AgentOnLoop.Peer::isOpen)
+                            .forEach(peer -> peer.repeat("\n", DRIBBLE_MS));
+                    final AgentOnLoop moved = new AgentOnLoop(scene.loop, scene::answer);
+                    scene.fails.addAll(List.of(first, second));
+                    scene.watches.move(moved.address());
+                    final long afterMs = scene.untilTold(RULE_MS);
+                    assertTrue(afterMs < MOVED_RULE_MS, first + ", " + second + ": " + afterMs + " ms");
+                    assertEquals("GET /discovery/hosts HTTP/1.1", moved.requests.get(0).lines().findFirst().get());
+                }
+            }
+        }
+    }
+
     /** The watch and its relief tell the same change in one turn, in either order. */
     @Test
     void whatBothTellCountsAndOneGoesOn() {
