Check a kept connection for a close or unread bytes before its next call

Seen: the event loop learns of what has come only in its next turn, so that a call decided in this turn was written to a connection whose close, half a line or whole answer already lay unread. Behind a close it ended as a reset that may have run (a message that may not be repeated fails); half a line spoilt its answer; a whole answer of before was taken for its own, and a message that got a 500 counted as delivered. Change: CallChannel.isStale() reads one byte without waiting; a call closes what is stale or past that time and takes the next.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -17,7 +17,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -35,6 +34,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
@@ -101,7 +101,7 @@
         this.host = host;
         this.idleUs = (long) (IDLE_SHARE * config.settings().limits().idleCloseUs());
         this.connectTimeoutUs = config.connectTimeoutUs();
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(CallChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeoutUs / US_PER_MS))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -265,27 +265,27 @@
         return calls.remove(call);
     }
 
-    /** Over an idle connection that has had its rest; one that needs a little more is waited for. */
+    /** Over the idle connection used last that has had its rest; one that needs a little more is waited for. */
     private void dispatch(final Call call) {
         if (!calls.contains(call)) {
             return;
         }
         final long nowUs = clock.nowUs();
-        Reader rested = null;
         long restUs = Long.MAX_VALUE;
-        for (final Reader reader : List.copyOf(call.pool.idle)) {
-            if (!reader.context.channel().isActive()) {
-                call.pool.idle.remove(reader);
-            } else if (reader.idleSinceUs + REST_US <= nowUs) {
-                rested = reader;
-            } else {
+        final List<Reader> newestFirst = new ArrayList<>(call.pool.idle);
+        Collections.reverse(newestFirst);
+        for (final Reader reader : newestFirst) {
+            if (reader.idleSinceUs + REST_US > nowUs) {
                 restUs = Math.min(restUs, reader.idleSinceUs + REST_US - nowUs);
+            } else if (reader.idleSinceUs + idleUs <= nowUs || reader.isStale()) {
+                reader.close();
+            } else {
+                call.pool.idle.remove(reader);
+                reader.write(call);
+                return;
             }
         }
-        if (rested != null) {
-            call.pool.idle.remove(rested);
-            rested.write(call);
-        } else if (restUs <= REST_US) {
+        if (restUs <= REST_US) {
             later(call, restUs, () -> dispatch(call));
         } else {
             connect(call);
@@ -449,6 +449,10 @@
             });
         }
 
+        private boolean isStale() {
+            return ((CallChannel) context.channel()).isStale();
+        }
+
         private void close() {
             if (call == null) {
                 unpool();
--- a/src/test/java/driftchute/node/FakeServer.java
+++ b/src/test/java/driftchute/node/FakeServer.java
@@ -186,6 +186,20 @@
             write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
         }
 
+        /** Ends the sending of this side. */
+        void finish() {
+            try {
+                socket.shutdownOutput();
+            } catch (final IOException e) {
+                ended = true;
+            }
+        }
+
+        /** The port of the other side's socket. */
+        int otherPort() {
+            return socket.getPort();
+        }
+
         /** Breaks the connection without a word. */
         public void reset() {
             try {
