SIGTERM before a process serves: it gives up its place at once

Cause: a process told to end while it starts or stands by keeps its two locks until it is gone, and its event loop goes on looking for its turn meanwhile.

Change: told to end before it serves, it takes nothing up any more and releases both locks at once. Locks may be asked by any thread, since the start takes one on the main thread.

--- a/src/main/java/driftchute/node/Handover.java
+++ b/src/main/java/driftchute/node/Handover.java
@@ -43,6 +43,12 @@
         serving.release();
     }
 
+    /** This process ends before it has served: another may serve, or stand by. */
+    void withdraw() throws IOException {
+        serving.release();
+        standby.release();
+    }
+
     /** True once the next one has taken this one's place and listens. */
     boolean isDone() throws IOException {
         return !standby.isTaken() && serving.isTaken();
--- a/src/main/java/driftchute/node/Lock.java
+++ b/src/main/java/driftchute/node/Lock.java
@@ -9,7 +9,7 @@
 
 /**
  * A lock in the folder that the processes of one courier share. It ends with its process, however that ends; its file
- * stays, empty, since one that is removed could be locked twice under one name.
+ * stays, empty, since one that is removed could be locked twice under one name. Any thread may ask.
  */
 final class Lock implements AutoCloseable {
     private final FileChannel channel;
@@ -20,7 +20,7 @@
     }
 
     /** Takes it, if nobody has it; true while it is this one's. */
-    boolean take() throws IOException {
+    synchronized boolean take() throws IOException {
         try {
             lock = lock == null ? channel.tryLock() : lock;
         } catch (final OverlappingFileLockException e) {
@@ -30,7 +30,7 @@
         return lock != null;
     }
 
-    void release() throws IOException {
+    synchronized void release() throws IOException {
         if (lock != null) {
             lock.release();
             lock = null;
@@ -38,7 +38,7 @@
     }
 
     /** True if somebody else has it at this moment. */
-    boolean isTaken() throws IOException {
+    synchronized boolean isTaken() throws IOException {
         final boolean mine = lock != null;
         final boolean free = take();
         if (!mine) {
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -40,6 +40,8 @@
     private volatile boolean ready;
     /** It has taken the place of the one before; only the loop asks. */
     private boolean serving;
+    /** It was told to end before it served: it takes nothing up any more. Only the loop asks. */
+    private boolean endsUnserved;
     private Handover handover;
     private Host host;
     private Intake intake;
@@ -100,6 +102,9 @@
 
     /** Builds everything on the event loop, which owns it all from then on. */
     private void run(final Config config, final Orders orders) throws IOException {
+        if (endsUnserved) {
+            return;
+        }
         host = new Host(config, loop, clock, new Journal(config.state(), config.diskBytes()), orders);
         intake = new Intake(config, clock, host, orders);
         host.start();
@@ -109,6 +114,9 @@
 
     /** Serves as soon as no other process of this courier does; until then it stands by, and is as good as ready. */
     private void seek(final Config config) throws IOException {
+        if (endsUnserved) {
+            return;
+        }
         if (handover.serve()) {
             serve(config);
             return;
@@ -172,7 +180,7 @@
         loop.execute(() -> {
             if (!serving) {
                 // It took nothing on: whoever serves goes on.
-                stopped.countDown();
+                endUnserved();
                 return;
             }
             try {
@@ -198,6 +206,18 @@
         }
     }
 
+    /** The end takes a while yet: from now on it is neither the one that serves nor the next, so that another may be. */
+    private void endUnserved() {
+        endsUnserved = true;
+        ready = false;
+        try {
+            handover.withdraw();
+        } catch (final IOException e) {
+            Log.failure("the locks cannot be used", e);
+        }
+        stopped.countDown();
+    }
+
     /**
      * Nobody stands by: goes on for as long as clients have connections open and messages are owed, within what is left
      * before SIGKILL, and leaves what is not done by then to the next start.
--- /dev/null
+++ b/src/test/java/driftchute/node/EndBeforeServingTest.java
@@ -0,0 +1,121 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** SIGTERM to a process that starts or stands by: however long its end takes, it takes nothing up any more. */
+@Timeout(120)
+final class EndBeforeServingTest {
+    @TempDir
+    private Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        rig = new Rig(folder);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        rig.close();
+    }
+
+    private long ready() {
+        return rig.log.stream().filter(line -> line.contains("is ready at")).count();
+    }
+
+    /** One that stands by was told to end, and has not ended. */
+    private Process startAndEndTheNextSlowly() throws Exception {
+        rig.start();
+        rig.program = "driftchute.node.SlowEnd";
+        final Process old = rig.startBeside();
+        rig.program = "driftchute.node.Main";
+        Rig.terminate(rig.newest());
+        rig.await("its end", () -> SlowEnd.isEnding(rig) && !isTaken("standby.lock"));
+        return old;
+    }
+
+    @Test
+    void theNextProcessIsAnotherWhereTheOneThatStoodByEnds() throws Exception {
+        final Process old = startAndEndTheNextSlowly();
+        rig.launch();
+        rig.await("a third that stands by", () -> rig.log.stream().filter(line -> line.contains("stands by")).count() == 2);
+        Rig.terminate(old);
+        assertTrue(old.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+        rig.await("the third", () -> ready() == 2);
+    }
+
+    @Test
+    void theOneThatServesDrainsWhereTheOneThatStoodByEnds() throws Exception {
+        final Process old = startAndEndTheNextSlowly();
+        Rig.terminate(old);
+        assertTrue(old.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+        assertFalse(rig.hasLogged("another process takes over"), rig.log.toString());
+        assertEquals(1, ready(), "one that ends takes nothing up: " + rig.log);
+    }
+
+    /** The start waits for a lock as SIGTERM comes, and goes on with its steps while the process ends. */
+    @Test
+    void aStartThatIsToldToEndSendsNothing() throws Exception {
+        rig.first.script((request, connection) -> { });
+        rig.start();
+        assertEquals(202, rig.handIn("m1", "safe").status());
+        rig.await("its call", () -> rig.first.requests.size() == 1);
+        rig.kill();
+        rig.program = "driftchute.node.SlowEnd";
+        try (FileChannel orders = FileChannel.open(folder.resolve("state/orders.lock"), StandardOpenOption.WRITE)) {
+            final Process next;
+            try (FileLock held = orders.lock()) {
+                assertTrue(held.isValid());
+                next = rig.launch();
+                // Not by trying the locks: that could come in the way of its own try.
+                rig.await("its wait for the lock", () -> hasOpen(next, "orders.lock"));
+                Rig.terminate(next);
+                rig.await("its end", () -> SlowEnd.isEnding(rig) && !isTaken("serving.lock"));
+            }
+            // Its place is free, and the message is sent once more by the one that takes it.
+            rig.program = "driftchute.node.Main";
+            rig.start();
+            rig.await("the repeat", () -> rig.first.requests.size() == 2);
+            SlowEnd.allow(folder.resolve("state"));
+            assertTrue(next.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+        }
+    }
+
+    private static boolean hasOpen(final Process process, final String name) {
+        try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+            return open.anyMatch(one -> {
+                try {
+                    return Files.readSymbolicLink(one).endsWith(name);
+                } catch (final IOException e) {
+                    return false;
+                }
+            });
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
+    private boolean isTaken(final String name) {
+        try (Lock lock = new Lock(folder.resolve("state").resolve(name))) {
+            return lock.isTaken();
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/src/test/java/driftchute/node/Rig.java
+++ b/src/test/java/driftchute/node/Rig.java
@@ -45,6 +45,8 @@
     long connectTimeoutUs = 1_000_000;
     /** How the simulator's instances of such a site get the list. */
     String listMode = "on_request";
+    /** The class that is run. */
+    String program = "driftchute.node.Main";
     String extraSetting = "\"unheard_of\":[{\"x\":1}]";
     /** Endpoints that the courier knows at its start. */
     String hosts;
@@ -163,7 +165,7 @@
         final Path config = configure(platform.address());
         final ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                "driftchute.node.Main");
+                program);
         builder.environment().put("PROXY_CONFIG", config.toString());
         builder.environment().put("PROXY_DISCOVERY", platform.address());
         builder.environment().put("PROXY_STATE", folder.resolve("state").toString());
@@ -224,6 +226,11 @@
         assertTrue(new ProcessBuilder("kill", "-TERM", Long.toString(process.pid())).start().waitFor() == 0);
     }
 
+    /** The process that was started last. */
+    Process newest() {
+        return process;
+    }
+
     boolean isRunning() {
         return process.isAlive();
     }
--- /dev/null
+++ b/src/test/java/driftchute/node/SlowEnd.java
@@ -0,0 +1,35 @@
+package driftchute.node;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/** The program in a process that takes as long to end, once it is told to, as a test wants it to. */
+public final class SlowEnd {
+    private static final String MAY_END = "may-end";
+    private static final String ENDS = "ends";
+
+    private SlowEnd() { }
+
+    public static void main(final String[] args) {
+        final Path state = Path.of(System.getenv("PROXY_STATE"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            System.out.println(ENDS);
+            while (!Files.exists(state.resolve(MAY_END))) {
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+            }
+        }));
+        Main.main(args);
+    }
+
+    /** Lets those of a folder go. */
+    static void allow(final Path state) throws java.io.IOException {
+        Files.createFile(state.resolve(MAY_END));
+    }
+
+    /** One of them was told to end. */
+    static boolean isEnding(final Rig rig) {
+        return rig.log.contains(ENDS);
+    }
+}
