A notice that the platform cannot read holds up no other

After a 400 the batch was halved, but each half waited for the back-off, six times for a batch of 64: the readable ones were told half a second late and more.

A batch that is answered with 400 is divided at once; only a single notice that is refused waits.

NoticesTest: 200 notices with one that cannot be read. Without the change none of the others of its batch is confirmed before time passes; with it all 199 are confirmed while the test's clock stands still.

--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -52,6 +52,7 @@
     private static final int MOST_IN_BATCH = 64;
     private static final int MOST_BODY_BYTES = 1 << 16;
     private static final int CONFIRMED = 204;
+    private static final int UNREADABLE = 400;
 
     private final EventLoop loop;
     private final Consumer<List<Held>> confirmation;
@@ -159,9 +160,14 @@
         // One that the platform cannot read may not hold up the others: smaller batches, and these go last.
         owed.removeAll(Set.copyOf(batch));
         owed.addAll(batch);
+        final boolean divides = status == UNREADABLE && batch.size() > 1;
         most = Math.max(1, batch.size() / 2);
         stopWaiting();
-        later();
+        if (divides) {
+            flush();
+        } else {
+            later();
+        }
     }
 
     private void unanswered() {
--- a/src/test/java/driftchute/node/NoticesTest.java
+++ b/src/test/java/driftchute/node/NoticesTest.java
@@ -5,6 +5,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -87,6 +89,22 @@
         }
     }
 
+    /** No time passes at all. */
+    @Test
+    void oneThatCannotBeReadHoldsUpNoOther() {
+        begin((request, peer) -> peer.write(request.contains("bad") ? "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n"
+                : CONFIRMED));
+        final Set<String> good = new TreeSet<>();
+        for (int index = 0; index < 200; index++) {
+            owe(index == 30 ? "bad" : "m" + index);
+            good.add(index == 30 ? "m0" : "m" + index);
+        }
+        notices.flush();
+        loop.settle();
+        assertEquals(good, new TreeSet<>(confirmed));
+        assertEquals(good.size(), confirmed.size());
+    }
+
     /** Its confirmation and its time-out fall due in the same turn; then the time-out is first. */
     @Test
     void aConfirmationThatCrossesTheTimeOutCountsOnce() {
