End a call with the time of its first message, and let none share one that it could end

Change: the messages of a call share its fate, so the call is given up when the first of them is out of time; the others go again where they may.

CallCrossingTest (loopback, both orders) and CallSharingTest: without the change 2 of 2 fail ('never came: the other one's end', '... next call'), with it they pass.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -567,9 +567,16 @@
         return best;
     }
 
-    /** A call has one time-out: what may go again is not held for as long as what may not. */
-    private static boolean mayShare(final Job job, final Call call) {
-        return zoneAllows(job, call.node) && call.unsafe == (job.kind.effect() == Effect.UNSAFE);
+    /** A call has one time-out, and ends with its first message's time: none ends it for the others, but by chance. */
+    private boolean mayShare(final Job job, final Call call) {
+        return zoneAllows(job, call.node) && call.unsafe == (job.kind.effect() == Effect.UNSAFE)
+                && Math.min(call.validUntilUs, job.message.validUntilUs())
+                >= nowUs + cutOffTimes(job) * Math.max(call.expectedUs, expectedUs(call.node.lane, job));
+    }
+
+    /** What is expected, times this, is left of a call that something will cut off: chance may, so seldom. */
+    private static double cutOffTimes(final Job job) {
+        return job.kind.effect() == Effect.UNSAFE ? OVERDUE_TIMES : STOP_TIMES;
     }
 
     /** False where an earlier attempt may have run and this endpoint would not know the repeat. */
@@ -585,8 +592,7 @@
 
     /** False for a call that the end of this process would likely cut off: the next one may send it. */
     private boolean endsInTime(final Lane lane, final Job job) {
-        return stopUs == NEVER || nowUs + (job.kind.effect() == Effect.UNSAFE
-                ? OVERDUE_TIMES : STOP_TIMES) * expectedUs(lane, job) < stopUs;
+        return stopUs == NEVER || nowUs + cutOffTimes(job) * expectedUs(lane, job) < stopUs;
     }
 
     /** Sends a message and, where calls are shared, those that wait with it. */
@@ -619,6 +625,7 @@
             call.messages++;
             call.unsafe = job.kind.effect() == Effect.UNSAFE;
             call.expectedUs = Math.max(call.expectedUs, (long) expectedUs(lane, job));
+            call.validUntilUs = Math.min(call.validUntilUs, job.message.validUntilUs());
             job.call = call;
             job.attempts++;
             job.destination.waiting.remove(job);
@@ -1240,6 +1247,8 @@
         /** Messages sent with it, and those without an outcome yet. */
         private int size, messages;
         private long sentUs, expectedUs, idleUs;
+        /** When the first of its messages is out of time. */
+        private long validUntilUs = NEVER;
         /** It went over a connection that was kept, as far as is known here; and that alone made it fail. */
         private boolean reused, stale;
         private boolean calledOff;
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -135,7 +135,10 @@
         }
     }
 
-    /** One call: the messages in it, and how far it has come. */
+    /**
+     * One call: the messages in it, and how far it has come. They share its fate, so it ends with the time of the first of
+     * them: what is answered after that came too late, for all of them.
+     */
     static final class Call {
         private final Pool pool;
         private final long endpoint;
@@ -148,15 +151,15 @@
         private Reader reader;
         private boolean started;
         private boolean written;
-        /** It was written with several messages, however many of them still wait for its answer. */
-        private boolean bulk;
 
         Call(final Pool pool, final long endpoint, final List<Host.Parcel> parcels, final long sentUs) {
             this.pool = pool;
             this.endpoint = endpoint;
-            this.parcels = new ArrayList<>(parcels);
+            this.parcels = List.copyOf(parcels);
             this.sentUs = sentUs;
-            this.deadlineUs = sentUs + parcels.stream().mapToLong(Host.Parcel::timeoutUs).max().orElse(0);
+            this.deadlineUs = Math.min(
+                    sentUs + parcels.stream().mapToLong(Host.Parcel::timeoutUs).max().orElse(0),
+                    parcels.stream().mapToLong(parcel -> parcel.open().validUntilUs).min().orElse(sentUs));
         }
 
         long endpoint() {
@@ -166,6 +169,10 @@
         long sentUs() {
             return sentUs;
         }
+
+        private boolean isBulk() {
+            return parcels.size() > 1;
+        }
     }
 
     /** The list names an endpoint, or its address or condition has changed. */
@@ -243,12 +250,6 @@
         }
         calls.add(call);
         later(call, call.deadlineUs - call.sentUs, () -> abandon(call, Result.TIMED_OUT));
-        for (final Host.Parcel parcel : call.parcels) {
-            // Its own time-out does not free it, for its call is still out; but no call outlives a message's time.
-            if (parcel.open().validUntilUs < call.deadlineUs) {
-                later(call, parcel.open().validUntilUs - call.sentUs, () -> expire(call, parcel));
-            }
-        }
         call.started = true;
         dispatch(call);
     }
@@ -357,16 +358,6 @@
         return result == Result.CANCELLED ? Result.NOT_SENT : Result.NO_CONNECTION;
     }
 
-    /** A message whose own time is up leaves a call that others still wait for; the last one ends it. */
-    private void expire(final Call call, final Host.Parcel parcel) {
-        if (call.parcels.equals(List.of(parcel))) {
-            abandon(call, Result.TIMED_OUT);
-        } else if (calls.contains(call) && call.parcels.remove(parcel)) {
-            final Result result = call.reader == null ? Result.NO_CONNECTION : Result.TIMED_OUT;
-            host.outcome(parcel, call, new Answer(result, false, 0, null));
-        }
-    }
-
     private void tell(final Call call, final Answer answer) {
         call.parcels.forEach(parcel -> host.outcome(parcel, call, answer));
     }
@@ -438,7 +429,6 @@
             call = next;
             call.channel = context.channel();
             call.reader = this;
-            call.bulk = call.parcels.size() > 1;
             line = null;
             head = null;
             body = new ByteArrayOutputStream(0);
@@ -522,7 +512,7 @@
 
         /** True if the answer to this call says so in its first line; for several messages only all of it tells. */
         private boolean isDelivered(final Call of) {
-            return of == call && line != null && line.status().code() == OK && of.written && !of.bulk
+            return of == call && line != null && line.status().code() == OK && of.written && !of.isBulk()
                     && line.protocolVersion().majorVersion() == 1;
         }
 
@@ -560,7 +550,7 @@
             final long waitUs = waitUs(head);
             told(done, waitUs);
             final Answer all = answer(head, waitUs);
-            if (done.bulk && head.status().code() == OK) {
+            if (done.isBulk() && head.status().code() == OK) {
                 tellEach(done, all);
             } else {
                 tell(done, all);
@@ -630,13 +620,13 @@
     // ---------------------------------------------------------------- requests and answers
 
     private FullHttpRequest request(final Call call) {
-        final byte[] body = call.bulk ? bulk(call) : call.parcels.get(0).open().held.body();
+        final byte[] body = call.isBulk() ? bulk(call) : call.parcels.get(0).open().held.body();
         final FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                call.bulk ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
+                call.isBulk() ? "/inbox/bulk" : "/inbox", Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, call.pool.address.getHostString());
         request.headers().set("X-Timeout-Ms", Math.max(1, (call.deadlineUs - clock.nowUs()) / US_PER_MS));
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        if (call.bulk) {
+        if (call.isBulk()) {
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         } else {
             final Held held = call.parcels.get(0).open().held;
