No repeat of a keyed message is written after its window, however late its connection

Cause: whether a message that may have run may be repeated was decided when its call was, within nineteen twentieths of the window. Its connection may come up a second or more later, and the call was then written after the window: the endpoint has forgotten the key by then and takes the message for a new one. With a window of 1 s and connections up to 1.5 s late any repeat that needs a new connection can meet this, in one process and across a restart alike.

Change: just before a call's first byte the host looks at the window once more; a call with a message that is forgotten counts as not sent, and the decisions end the message as they do when the window ends while it waits.

Measured (ShutdownTest: an error to the first call, window 300 ms, the repeat's connection comes up after that): without the change the repeat is written after the window, with it there is one call and a notice.

--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -42,6 +42,8 @@
     private static final long SILENT_US = 200_000;
     /** How often the couriers that share what they know are told what this one knows and wants. */
     private static final long REPORT_MS = 100;
+    /** Share of a key's window after which no repeat is written: the rest is for its way. */
+    private static final double KEY_SHARE = 0.95;
     /** Share of the store that makes a pile. */
     private static final double PILE_SHARE = 0.1;
 
@@ -245,14 +247,14 @@
 
     /**
      * True if a call may be written now; from then on the journal has it as begun. Decisions and connecting take time,
-     * in which a wait may have come; and a process that dies before this has not tried.
+     * in which a wait may have come or a key's window have passed; and a process that dies before this has not tried.
      */
     boolean mayWrite(final Endpoints.Call call) {
         if (call.parcels().isEmpty() || !mayWrite(call.parcels().get(0).open().held.destination)) {
             return false;
         }
         // What was looked up may just have ended the call.
-        return call.parcels().stream().allMatch(parcel -> parcel.open().call == call)
+        return call.parcels().stream().allMatch(parcel -> parcel.open().call == call && !isForgotten(parcel))
                 && isRecorded(call);
     }
 
@@ -265,6 +267,14 @@
         return recorded;
     }
 
+    /** True if it may have run, and so long ago that endpoints may not know its key any more. */
+    private boolean isForgotten(final Parcel parcel) {
+        final Courier.MessageClass kind = parcel.open().kind;
+        final long firstRunWallUs = parcel.open().held.firstRunWallUs();
+        return kind.effect() == Courier.Effect.KEYED && firstRunWallUs != Held.NEVER
+                && clock.wallUs() - firstRunWallUs >= KEY_SHARE * kind.keyWindowUs();
+    }
+
     /** While an earlier process ends its calls, what these were told is looked up once more. */
     private boolean mayWrite(final long destination) {
         if (leaving) {
--- a/src/test/java/driftchute/node/ShutdownTest.java
+++ b/src/test/java/driftchute/node/ShutdownTest.java
@@ -21,6 +21,9 @@
 final class ShutdownTest {
     private static final List<String> IDS = IntStream.range(0, 8).mapToObj(number -> "m" + number).toList();
 
+    /** The window of the class {@code brief}. */
+    private static final long BRIEF_MS = 300;
+
     @TempDir
     private Path folder;
     private Rig rig;
@@ -94,6 +97,28 @@
         assertEquals(List.of(), tried, "messages said to be out, or to have run");
     }
 
+    /** The repeat is decided in time, but its connection comes up only when the endpoint has forgotten the key. */
+    @Test
+    void aRepeatWhoseConnectionComesUpAfterItsWindowIsNotWritten() throws Exception {
+        rig.connectTimeoutUs = 100_000_000;
+        rig.first.script((request, connection) -> {
+            try {
+                rig.first.ignore();
+            } catch (final IOException e) {
+                throw new IllegalStateException(e);
+            }
+            rig.first.script((next, other) -> other.answer(200, ""));
+            connection.answer(500, "", "Connection: close");
+        });
+        rig.start();
+        assertEquals(202, rig.handIn("m0", "brief").status());
+        rig.await("the end of the window", () -> !rig.first.requests.isEmpty() && System.nanoTime()
+                - rig.first.requests.get(0).atNs() > TimeUnit.MILLISECONDS.toNanos(BRIEF_MS));
+        rig.first.listen();
+        rig.await("its end", () -> rig.noticed("m0", "deferred") || rig.first.requests.size() > 1);
+        assertEquals(1, rig.first.requests.size(), "written after the window");
+    }
+
     /** A call that was written may have run: recorded as such, so that it is not sent again. */
     @Test
     void whatWasWrittenAtTheEndMayHaveRunAndIsNotSentAgain() throws Exception {
