With no descriptor left, a notice's failure is told on the loop

Where a connection cannot even be created, Netty tells its failure on a thread of its own; the notices then changed their batch and their timers there, beside the event loop. The watches on the list already came back to the loop first.

NoDescriptorTest takes every descriptor of the process, breaks the watch and owes a notice, and gives them back 3 s later (a clock of its own): watch and notices go on within 300 ms, nothing is asked or told meanwhile, the loss is told once.

--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -221,7 +221,8 @@
                         }
                     }).connect(address).addListener(done -> {
                         if (!done.isSuccess()) {
-                            lost();
+                            // Where no descriptor was to be had, this is another thread.
+                            loop.execute(this::lost);
                         } else if (line == this) {
                             post(body);
                         } else {
--- /dev/null
+++ b/src/test/java/driftchute/node/NoDescriptorTest.java
@@ -0,0 +1,119 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.FileInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Every descriptor is in use as the watch breaks and a notice falls due; then one is free again. */
+@Timeout(60)
+final class NoDescriptorTest {
+    private static final long RULE_MS = 300;
+    private static final long OUT_MS = 3000;
+    private final SteppedLoop loop = new SteppedLoop();
+    private final List<String> told = new ArrayList<>();
+    private final List<FileInputStream> taken = new ArrayList<>();
+
+    @AfterEach
+    void end() throws IOException {
+        give();
+        loop.close();
+    }
+
+    private void takeAll() {
+        try {
+            while (true) {
+                taken.add(new FileInputStream("/dev/null"));
+            }
+        } catch (final IOException e) {
+            assertTrue(e.getMessage().contains("Too many open files"), e.getMessage());
+        }
+    }
+
+    private void give() throws IOException {
+        for (final FileInputStream one : taken) {
+            one.close();
+        }
+        taken.clear();
+    }
+
+    /** Passes time while another thread, which fails what has no descriptor, is given some too. */
+    private void pass(final long ms) {
+        for (long passed = 0; passed < ms; passed += 50) {
+            loop.pass(50);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+    }
+
+    private static Held owed(final String id) {
+        final Held held = new Held(id, "safe", null, 7, 0, new byte[0]);
+        held.owe(new Held.Notice(true, 0));
+        return held;
+    }
+
+    private final class Listener implements Watches.Listener {
+        @Override
+        public void told(final JsonNode list, final InetSocketAddress from) {
+            told.add(list.path("seq").asText());
+        }
+
+        @Override
+        public void unchanged() {
+            told.add("same");
+        }
+
+        @Override
+        public void lost() {
+            told.add("lost");
+        }
+    }
+
+    @Test
+    void theWatchAndTheNoticesGoOnAsSoonAsThereIsOne() throws IOException {
+        final AgentOnLoop agent = new AgentOnLoop(loop, (request, peer) -> {
+            if (request.startsWith("POST")) {
+                peer.write("HTTP/1.1 204 X\r\n\r\n");
+            } else {
+                peer.head();
+                peer.chunk("{\"seq\":42,\"whole\":true,\"hosts\":[]}");
+            }
+        });
+        final Watches watches = new Watches(agent.address(), loop.mine(), loop::nowUs, 1, new Listener());
+        final Notices notices = new Notices(agent.address(), loop.mine(),
+                heard -> heard.forEach(held -> told.add(held.id)));
+        watches.follow();
+        assertTrue(loop.until(RULE_MS, () -> told.contains("42")) < RULE_MS);
+        // First they are refused: all classes that a failure needs are loaded while there are descriptors.
+        agent.refuse();
+        agent.peers.forEach(AgentOnLoop.Peer::reset);
+        notices.add(owed("m0"));
+        notices.flush();
+        pass(OUT_MS);
+        agent.listen();
+        assertTrue(loop.until(RULE_MS, () -> agent.open() == 2 && told.contains("m0")) < RULE_MS);
+        told.clear();
+        final int asked = agent.requests.size();
+        agent.peers.forEach(AgentOnLoop.Peer::reset);
+        loop.settle();
+        takeAll();
+        notices.add(owed("m1"));
+        notices.flush();
+        pass(OUT_MS);
+        assertEquals(asked, agent.requests.size());
+        assertEquals(List.of("lost"), told);
+        give();
+        final long afterMs = loop.until(RULE_MS, () -> told.contains("42") && told.contains("m1"));
+        assertTrue(afterMs < RULE_MS, afterMs + " ms: " + told);
+        assertEquals(0, loop.strangers(), "timers set by another thread than the loop's");
+    }
+}
