An endpoint that is listed again is the same one, with its wait

The decisions keep a route apart, with its wait and its outage, when it leaves the list; but the list's copy forgot its number, so that an endpoint that came back was a new one to them, and a call went inside a told wait.

Numbers of endpoints are kept, as their names were already; one that comes back for another destination or kind is a new one. The set of names is part of the same map.

RelistedTest: a route apart tells to wait 3 s, is Gone, and Ready again. Without the change it is called 31 ms after its answer; with it not before the 3 s are over.

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -29,9 +29,11 @@
     private final Clock clock;
     private final Host host;
     private final Watches watches;
-    private final Map<String, Long> ids = new HashMap<>();
-    /** All that the list has ever named; the second address asks on a thread of its own. */
-    private final Set<String> listed = ConcurrentHashMap.newKeySet();
+    /**
+     * All that the list has ever named, as it last did: what is listed again is the same endpoint, with its waits and
+     * outages. The second address asks on a thread of its own.
+     */
+    private final Map<String, Courier.Endpoint> named = new ConcurrentHashMap<>();
     private final Map<Long, Courier.Endpoint> known = new HashMap<>();
     private long nextId = 1;
     /** When each destination was last seen to have an endpoint: between two endpoints it has none for a while. */
@@ -68,12 +70,13 @@
 
     /** True if the list has ever named that endpoint to this process. On any thread. */
     boolean hasListed(final String name) {
-        return listed.contains(name);
+        return named.containsKey(name);
     }
 
     /** The endpoints of these names that are in the list now. */
     Set<Long> idsOf(final Set<String> names) {
-        return names.stream().map(ids::get).filter(Objects::nonNull).collect(Collectors.toSet());
+        return names.stream().map(named::get).filter(Objects::nonNull).map(Courier.Endpoint::id)
+                .filter(known::containsKey).collect(Collectors.toSet());
     }
 
     /** True if the list names an endpoint of that destination now. */
@@ -155,7 +158,6 @@
         if (entry != null) {
             destinations.put(entry.destination(), clock.nowUs());
         }
-        ids.values().remove(endpoint);
     }
 
     private Entry entry(final JsonNode node) {
@@ -182,9 +184,15 @@
                 kind = index;
             }
         }
-        listed.add(name);
-        final long id = ids.computeIfAbsent(name, unused -> nextId++);
-        return new Courier.Endpoint(id, condition, node.path("site").asText(), node.path("share").asDouble(0), kind,
-                node.path("block").asLong());
+        final long block = node.path("block").asLong();
+        final Courier.Endpoint before = named.get(name);
+        final boolean same = before != null
+                && (condition == Courier.Condition.GONE || before.kind() == kind && before.destination() == block);
+        final Courier.Endpoint endpoint = new Courier.Endpoint(same ? before.id() : nextId++, condition,
+                node.path("site").asText(), node.path("share").asDouble(0), kind, block);
+        if (!same || condition != Courier.Condition.GONE) {
+            named.put(name, endpoint);
+        }
+        return endpoint;
     }
 }
