Accept: at the limit of descriptors the least useful connection makes room at once

An accept that failed for want of a descriptor paused the listener: a client that came while three idle ones held the last descriptors was not served within 20 s. Now the connection that makes room in a crowd is closed, and the next turn accepts; where none can be spared it is tried again after 50 ms, so that the loop does not spin. The log counts it.

CloseCrowdTest holds the process to the limit (prlimit). Without the change the client that asks timed out after 20 s; with it, it gets its 202 while the younger idle connections stay.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -42,6 +42,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -82,6 +83,8 @@
     /** In the operators' drain, and in an upgrade, each that is idle so long after its beginning is closed. */
     private static final long DRAIN_US = 1_500_000;
     private static final long SWEEP_MS = 200;
+    /** When it is tried again to accept a connection for which there was no descriptor. */
+    private static final long ACCEPT_PAUSE_MS = 50;
     /** The loop has looked at its sockets again by then, and what it gave back is free. */
     private static final long DEREGISTERED_MS = 2;
     /** For how long a request may have waited to be read, beyond what an end may be late anyway. */
@@ -109,6 +112,7 @@
     /** Connections closed for lack of room since the log last told, by their use; and when it may tell again. */
     private final int[] crowdedOut = new int[Session.IN_USE + 1];
     private int unfinished;
+    private int acceptFailures;
     private long crowdedToldUs;
 
     Intake(final Config config, final Clock clock, final Host host, final Orders orders) {
@@ -129,6 +133,12 @@
         final ChannelFuture bound = new ServerBootstrap().group(group)
                 .channelFactory(() -> new NioServerSocketChannel(socket))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+                        acceptFailed(cause);
+                    }
+                })
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(READ_BYTES / 16, READ_BYTES / 8, READ_BYTES)
@@ -247,14 +257,16 @@
     }
 
     private void tellCrowd(final long nowUs) {
-        if (nowUs - crowdedToldUs < CROWDED_LOG_US || unfinished == 0 && IntStream.of(crowdedOut).sum() == 0) {
+        if (nowUs - crowdedToldUs < CROWDED_LOG_US || unfinished + acceptFailures == 0 && IntStream.of(crowdedOut).sum() == 0) {
             return;
         }
         Log.info("of " + mostConnections + " connections of clients at most, closed to make room: " + crowdedOut[0]
                 + " rejected, " + crowdedOut[1] + " that never asked, " + crowdedOut[2] + " unfinished, " + crowdedOut[3]
-                + " idle, " + crowdedOut[Session.IN_USE] + " new; rejected as too slow: " + unfinished);
+                + " idle, " + crowdedOut[Session.IN_USE] + " new; rejected as too slow: " + unfinished
+                + "; not accepted at once: " + acceptFailures);
         Arrays.fill(crowdedOut, 0);
         unfinished = 0;
+        acceptFailures = 0;
         crowdedToldUs = nowUs;
     }
 
@@ -278,15 +290,44 @@
         if (sessions.size() <= mostConnections) {
             return;
         }
+        drop(leastUseful(newest).orElse(newest));
+    }
+
+    /** The one whose close does the least harm, if any is not in use; {@code newest} is none of them. */
+    private Optional<Session> leastUseful(final Session newest) {
         final long idleBeforeUs = clock.nowUs() - CROWDED_IDLE_US;
-        final Session least = sessions.stream().filter(session -> session != newest && session.usefulness(idleBeforeUs) < Session.IN_USE)
+        return sessions.stream()
+                .filter(session -> session != newest && session.usefulness(idleBeforeUs) < Session.IN_USE)
                 .min(Comparator.comparingInt((Session session) -> session.usefulness(idleBeforeUs))
-                        .thenComparingLong(Session::stillSinceUs))
-                .orElse(newest);
-        crowdedOut[least.usefulness(idleBeforeUs)]++;
+                        .thenComparingLong(Session::stillSinceUs));
+    }
+
+    private void drop(final Session least) {
+        crowdedOut[least.usefulness(clock.nowUs() - CROWDED_IDLE_US)]++;
         least.drop();
     }
 
+    /**
+     * A connection could not be accepted, for want of a descriptor: it stays in the queue. Where a connection can be
+     * spared it makes room, and the next turn accepts; else that is tried again soon. The library would wait for 1 s,
+     * more than a client waits for its answer.
+     */
+    private void acceptFailed(final Throwable cause) {
+        final Optional<Session> least = leastUseful(null);
+        least.ifPresent(this::drop);
+        if (least.isEmpty()) {
+            listener.config().setAutoRead(false);
+            listener.eventLoop().schedule(() -> {
+                if (listener.isRegistered()) {
+                    listener.config().setAutoRead(true);
+                }
+            }, ACCEPT_PAUSE_MS, TimeUnit.MILLISECONDS);
+        }
+        if (acceptFailures++ == 0) {
+            Log.info("a connection could not be accepted: " + cause.getMessage());
+        }
+    }
+
     /** A whole request that waits for its turn on its connection. */
     private record Request(HttpRequest head, byte[] body) { }
 
