Make room in the module: one wake kept in mind, the verdict's time asked for, one way out

Of the wakes only the next counts, so a set of them is not needed; since when the tier holds a lane to be out is in its verdict; what says nothing of a lane has one way out. No decision changes.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -11,7 +11,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 
 /**
  * Every decision of one courier; its interface is {@code Courier.java}. How it decides, from the top:
@@ -141,11 +140,10 @@
     private final double[] classMeanUs;
     private final int[] classSamples;
     private final long[] quotaUs;
-    private final TreeSet<Long> wakes = new TreeSet<>();
     /** Calls out here, calls that the process before still has out, and messages held. */
     private int callsOut, elsewhere, open;
     private double trustUs;
-    private long nowUs, nextStepUs, stopUs = NEVER, freshUntilUs = NEVER;
+    private long nowUs, nextStepUs, wakeUs, stopUs = NEVER, freshUntilUs = NEVER;
     private boolean subscribed, unconfirmed;
     /** What the couriers of the tier share; null where they share nothing. */
     private FleetView fleet;
@@ -336,7 +334,6 @@
         final Verdict verdict = verdict(lane);
         final Standing before = lane.heard;
         lane.heard = verdict == null ? Standing.WELL : verdict.standing();
-        lane.heardFromUs = lane.heard == Standing.OUT ? verdict.sinceUs() : NEVER;
         if (lane.heard == Standing.OUT && before != Standing.OUT && lane.phase != Phase.OUT) {
             lane.nextTrialUs = trialUs(lane);
         } else if (lane.heard == Standing.BACK
@@ -778,20 +775,16 @@
                 suspect(lane, part * ERROR_WEIGHT);
             }
             case TIMED_OUT, RESET, NO_CONNECTION, CANCELLED -> {
-                if (node.barred) {
-                    // It was taken out to be restarted: that says nothing of its destination.
+                call.stale |= !node.barred && call.reused && outcome.result() == Result.RESET && node.badRun[kind] == 0;
+                if (node.barred || call.stale) {
+                    // Taken out to be restarted, or a kept connection was dead: that says nothing of the lane.
                     lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
                     node.connections = 0;
-                    return;
-                }
-                call.stale |= outcome.result() == Result.RESET && call.reused && node.badRun[kind] == 0;
-                if (call.stale) {
-                    // A kept connection was dead: that says nothing of its endpoint, but of others like it.
-                    lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
-                    node.badRun[kind] += part;
-                    node.connections = 0;
-                    node.staleUntilUs = nowUs + settings.limits().idleCloseUs();
-                    actions.closeIdle(node.entry.id());
+                    if (call.stale) {
+                        node.badRun[kind] += part;
+                        node.staleUntilUs = nowUs + settings.limits().idleCloseUs();
+                        actions.closeIdle(node.entry.id());
+                    }
                     return;
                 }
                 lane.bad += part;
@@ -899,7 +892,7 @@
      */
     private long trialUs(final Lane lane) {
         final long fromUs = Math.max(nowUs, lane.waitUntilUs);
-        final long outUs = Math.min(lane.troubleFromUs, lane.heardFromUs);
+        final long outUs = Math.min(lane.troubleFromUs, isHeard(lane, Standing.OUT) ? verdict(lane).sinceUs() : NEVER);
         final double ageUs = Math.max(PAUSE_US, fromUs - outUs);
         final double gapUs = ageUs * (Math.pow(1 - random.nextDouble(), -1 / tippingShare(0)) - 1);
         return fromUs + (long) Math.min(gapUs, jitter((long) (apartUs(lane) / tippingShare(0))));
@@ -1056,10 +1049,9 @@
                 next = Math.min(next, endUs(job));
             }
         }
-        wakes.headSet(nowUs + 1).clear();
-        if (wakes.isEmpty() || wakes.first() > next) {
-            wakes.add(Math.max(nowUs + 1, next));
-            actions.wake(wakes.first() - nowUs);
+        if (wakeUs <= nowUs || wakeUs > next) {
+            wakeUs = Math.max(nowUs + 1, next);
+            actions.wake(wakeUs - nowUs);
         }
     }
 
@@ -1202,9 +1194,9 @@
         /** Since when nothing was served there; never, while all is well. */
         private long troubleFromUs = NEVER;
         private long waitUntilUs, pauseUntilUs, nextTrialUs, rampFromUs, lastSendUs, lastServedUs;
-        /** The tier's word, since when it is out by that; the last failed call; the last permit used. */
+        /** The tier's word; the last failed call; the last permit used. */
         private Standing heard = Standing.WELL;
-        private long heardFromUs = NEVER, badUs, permitUs;
+        private long badUs, permitUs;
 
         private Lane(final long id, final Kind kind, final double window) {
             this.id = id;
