A keyed attempt that can have no other is not given up early

Cause: a keyed message's first attempt ends early enough for another inside its key's window, but no sooner than after a second.

Change: the time-out is cut only where another attempt has room behind it; otherwise it is as long as any.

Test: ControlRetryTest.aKeyedAttemptThatCanHaveNoOtherIsNotGivenUpEarly: 1 s without the change, as long as a safe message's with it.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -956,7 +956,7 @@
         }
         if (job.kind.effect() == Effect.KEYED && !job.mayHaveRun) {
             final long againUs = (long) ((1 - KEY_MARGIN) * job.kind.keyWindowUs()) - OVERDUE_LEAST_US / 2;
-            timeoutUs = Math.min(timeoutUs, Math.max(OVERDUE_LEAST_US, againUs));
+            timeoutUs = againUs < OVERDUE_LEAST_US ? timeoutUs : Math.min(timeoutUs, againUs);
         }
         return leftUs - timeoutUs < expectedUs ? leftUs : timeoutUs;
     }
