--- a/src/main/java/driftchute/node/Log.java
+++ b/src/main/java/driftchute/node/Log.java
@@ -4,6 +4,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 
 /**
  * Standard error is the courier's log: one JSON object a line, for each thing that an operator or a checker should
@@ -24,6 +29,33 @@
         name = process;
     }
 
+    /**
+     * What the libraries say comes as lines of this log from now on. The platform's own way to write them loads the time
+     * zones from a file, and where no descriptor is left for that, the thread that wrote the line ends by it.
+     */
+    static void takeLibraryLines() {
+        LogManager.getLogManager().reset();
+        final Logger root = Logger.getLogger("");
+        root.setLevel(Level.WARNING);
+        root.addHandler(new Handler() {
+            @Override
+            public void publish(final LogRecord line) {
+                event("library", "msg", line.getMessage(), "logger", line.getLoggerName(), "cause",
+                        String.valueOf(line.getThrown()));
+            }
+
+            @Override
+            public void flush() {
+                // Each line is written at once.
+            }
+
+            @Override
+            public void close() {
+                // Standard error stays open.
+            }
+        });
+    }
+
     static void info(final String text) {
         event("note", "msg", text);
     }
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -61,6 +61,7 @@
     }
 
     static void start(final Map<String, String> environment) throws Config.BadConfigException, IOException {
+        Log.takeLibraryLines();
         new Main(environment).start();
     }
 
