--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -1,6 +1,7 @@
 package driftchute.node;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -80,12 +81,14 @@
     private static final double MOST_WAIT_S = 3600;
     private static final double MOST_RATE = 1e6;
     private static final double MOST_SHARE = 2;
+    /** The state of a message that an answer does not name, or names with two states. */
+    private static final String UNREADABLE = "";
 
     private final Clock clock;
     private final EventLoop loop;
     private final Host host;
     private final Bootstrap bootstrap;
-    private final ObjectMapper json = new ObjectMapper();
+    private final ObjectMapper json = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     private final long idleUs;
     private final long connectTimeoutUs;
     private final Map<Long, Pool> pools = new HashMap<>();
@@ -589,14 +592,15 @@
             final Map<String, String> states = new HashMap<>();
             try {
                 for (final JsonNode item : json.readTree(body.toByteArray())) {
-                    states.put(item.path("id").asText(), item.path("state").asText());
+                    states.merge(item.path("id").asText(), item.path("state").asText(),
+                            (one, other) -> one.equals(other) ? one : UNREADABLE);
                 }
             } catch (final IOException e) {
                 // Spoilt: each of them may have run.
                 states.clear();
             }
             for (final Host.Parcel parcel : done.parcels) {
-                final Answer one = switch (states.getOrDefault(parcel.open().held.id, "")) {
+                final Answer one = switch (states.getOrDefault(parcel.open().held.id, UNREADABLE)) {
                     case "accepted" -> new Answer(Result.DELIVERED, true, all.waitUs(), all.allowance());
                     case "deferred" -> new Answer(Result.REFUSED, false, all.waitUs(), all.allowance());
                     case "expired" -> new Answer(Result.NOT_SENT, true, all.waitUs(), all.allowance());
--- a/src/test/java/driftchute/node/CallCrossingTest.java
+++ b/src/test/java/driftchute/node/CallCrossingTest.java
@@ -144,6 +144,23 @@
         rig.await("the other one's end", () -> rig.noticed("m2", "undeliverable"));
     }
 
+    /** What cannot be read whole as the list that it should be tells nothing of any: each may have run. */
+    @ParameterizedTest
+    @ValueSource(strings = {"%s]", "%s[]", "{\"a\":%s}", "[%1$s,%1$s]", "[%s"})
+    void anAnswerToSeveralThatIsNoListOfStatesDeliversNone(final String form) throws IOException {
+        shareACall("once").answer(200, String.format(form, states("accepted", "accepted")));
+        rig.await("their end", () -> rig.noticed("m1", "undeliverable") && rig.noticed("m2", "undeliverable"));
+    }
+
+    /** A list that names a message twice, differently, tells nothing of it. */
+    @Test
+    void twoStatesOfOneMessageTellNothingOfIt() throws IOException {
+        shareACall("once").answer(200, "[{\"id\":\"m1\",\"state\":\"fault\"},"
+                + states("accepted", "accepted").substring(1));
+        rig.await("its end", () -> rig.noticed("m1", "undeliverable"));
+        assertEquals(1, rig.notices.size(), rig.notices.toString());
+    }
+
     // ---------------------------------------------------------------- no descriptor
 
     /** What a call needs is lacking for a while: its message loses neither its attempts nor its end. */
