--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -81,7 +81,7 @@
     private static final double ERROR_WEIGHT = 0.4;
     /** A run of this weight without success is an outage; so is this share of failures: most, and chance. */
     private static final double OUT_WEIGHT = 3;
-    /** A run of this weight, with nothing served for a while before it, may be all that is seen of an outage. */
+    /** A run of this weight, nothing served for a while before it, may be all that is seen of an outage. */
     private static final double DOUBT_WEIGHT = 1;
     private static final double OUT_SHARE = 0.6;
     /** Weight of a call in that share: about eight calls of memory. */
@@ -567,7 +567,7 @@
         return best;
     }
 
-    /** A call has one time-out, and ends with its first message's time: none ends it for the others, but by chance. */
+    /** A call ends with its first message's time: only chance may make one message end it for the others. */
     private boolean mayShare(final Job job, final Call call) {
         return zoneAllows(job, call.node) && call.unsafe == (job.kind.effect() == Effect.UNSAFE)
                 && Math.min(call.validUntilUs, job.message.validUntilUs())
@@ -779,9 +779,10 @@
                 suspect(lane, part * ERROR_WEIGHT);
             }
             case TIMED_OUT, RESET, NO_CONNECTION, CANCELLED -> {
-                call.stale |= !node.barred && call.reused && outcome.result() == Result.RESET && node.badRun[kind] == 0;
+                call.stale |= !node.barred && call.reused && outcome.result() == Result.RESET
+                        && node.badRun[kind] == 0;
                 if (node.barred || call.stale) {
-                    // Taken out to be restarted, or a kept connection was dead: that says nothing of the lane.
+                    // Taken out to be restarted, or a kept connection was dead: no news of the lane.
                     lane.troubleFromUs = first ? NEVER : lane.troubleFromUs;
                     node.connections = 0;
                     if (call.stale) {
@@ -815,7 +816,7 @@
     }
 
     /**
-     * True where a lane's trouble did not come right behind a success, and nothing was served since. One of many
+     * True where a lane's trouble did not come right behind a success, with nothing served since. One of many
      * couriers learns no more than that of an outage; together they push a cold destination over.
      */
     private boolean isInDoubt(final Lane lane) {
@@ -905,7 +906,8 @@
      */
     private long trialUs(final Lane lane) {
         final long fromUs = Math.max(nowUs, lane.waitUntilUs);
-        final long outUs = Math.min(lane.troubleFromUs, isHeard(lane, Standing.OUT) ? verdict(lane).sinceUs() : NEVER);
+        final long outUs = Math.min(lane.troubleFromUs,
+                isHeard(lane, Standing.OUT) ? verdict(lane).sinceUs() : NEVER);
         final double ageUs = Math.max(PAUSE_US, fromUs - outUs);
         final double gapUs = ageUs * (Math.pow(1 - random.nextDouble(), -1 / tippingShare(0)) - 1);
         return fromUs + (long) Math.min(gapUs, jitter((long) (apartUs(lane) / tippingShare(0))));
--- a/src/test/java/driftchute/node/NodeTest.java
+++ b/src/test/java/driftchute/node/NodeTest.java
@@ -336,7 +336,7 @@
 
     /** A call waits as long as its most patient message; another's time may be up long before. */
     @Test
-    void aMessageWhoseTimeIsUpEndsThoughItsCallIsStillOut() throws IOException {
+    void aMessageWhoseTimeIsUpEndsItsCallAndTheOthersGoAgain() throws IOException {
         rig.first.script((request, connection) -> { });
         startHeldBack();
         assertEquals(202, rig.handIn("patient", "safe").status());
@@ -346,7 +346,10 @@
         final FakeServer.Request call = rig.first.requests.get(0);
         assertTrue(call.text().contains("patient") && call.text().contains("hasty"), call.text());
         rig.await("its end", () -> rig.noticed("hasty", "deferred"));
-        assertFalse(call.connection().ended, "the other one's call goes on");
+        rig.await("the end of the call", () -> call.connection().ended);
+        rig.await("the other one's next call", () -> rig.first.requests.size() == 2);
+        assertEquals("patient", rig.first.requests.get(1).header("X-Request-ID"));
+        assertEquals(1, rig.notices.size());
     }
 
     // ---------------------------------------------------------------- the list
