Little of a client's answers is held by the system, so that it shows whether it reads

Cause: a client that does not read is closed after 2 s, told by the connection not being writable. The system took 2.5 MB of answers before that, and says that there is room again only when a third of it is free: a client that read all the time, behind, was reset in the middle (ClosePipelinedTest.aClientThatReadsLateHasEachAnswer failed in 2 of 2 runs of the whole suite). Change: the send buffer of a client's connection is 64 KB. With it the test passed 2 of 2 beside that suite.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -64,6 +64,8 @@
     private static final int MOST_HELD_BYTES = 1 << 22;
     /** What is read at once from one connection: one that floods may not keep the others waiting. */
     private static final int READ_BYTES = 1 << 14;
+    /** What the system holds of answers that a client has not read: more would hide for long whether it reads. */
+    private static final int SEND_BYTES = 1 << 16;
     private static final int BACKLOG = 256;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
@@ -140,6 +142,7 @@
                     }
                 })
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .childOption(ChannelOption.SO_SNDBUF, SEND_BYTES)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(READ_BYTES / 16, READ_BYTES / 8, READ_BYTES)
                                 .maxMessagesPerRead(1))
