A connection is read once more before it is closed as idle

The event loop learns of what has come only in its next turn. Each of the three now reads the socket first, and closes only what is idle then. At the end of the process what is found is refused (503), never taken on.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -226,6 +227,11 @@
         int idle = 0;
         int incomplete = 0;
         for (final Session session : List.copyOf(sessions)) {
+            if (session.isIdle()) {
+                // What has come meanwhile is answered, but too late to be taken on.
+                session.refusing = true;
+                session.catchUp();
+            }
             if (session.isIdle()) {
                 session.closeIdle();
                 idle++;
@@ -241,7 +247,7 @@
     }
 
     /** Closes what is of no use, and answers what does not come to an end, before anyone has to ask why. */
-    private void sweep() {
+    void sweep() {
         final long nowUs = clock.nowUs();
         drainedSinceUs = isDraining() ? Math.min(drainedSinceUs, nowUs) : Long.MAX_VALUE;
         final long idleUs = idleUs(nowUs);
@@ -254,7 +260,10 @@
                 session.drop();
             } else if (session.isIdle()
                     && session.idleSinceUs() <= nowUs - (session.hasAsked && !session.refusing ? idleUs : REQUEST_US)) {
-                session.closeIdle();
+                session.catchUp();
+                if (session.isIdle()) {
+                    session.closeIdle();
+                }
             }
         }
     }
@@ -290,10 +299,24 @@
      * failing these, the newest goes.
      */
     private void makeRoom(final Session newest) {
-        if (sessions.size() <= mostConnections) {
-            return;
+        if (sessions.size() > mostConnections && !dropLeastUseful(newest)) {
+            drop(newest);
         }
-        drop(leastUseful(newest).orElse(newest));
+    }
+
+    /** Closes the one that is least useful; false if each is in use, maybe by a request that had not been read yet. */
+    private boolean dropLeastUseful(final Session newest) {
+        for (Optional<Session> least = leastUseful(newest); least.isPresent(); least = leastUseful(newest)) {
+            final boolean wasIdle = least.get().isIdle();
+            if (wasIdle) {
+                least.get().catchUp();
+            }
+            if (least.get().isIdle() == wasIdle) {
+                drop(least.get());
+                return true;
+            }
+        }
+        return false;
     }
 
     /** The one whose close does the least harm, if any is not in use; {@code newest} is none of them. */
@@ -316,9 +339,7 @@
      * more than a client waits for its answer.
      */
     private void acceptFailed(final Throwable cause) {
-        final Optional<Session> least = leastUseful(null);
-        least.ifPresent(this::drop);
-        if (least.isEmpty()) {
+        if (!dropLeastUseful(null)) {
             listener.config().setAutoRead(false);
             listener.eventLoop().schedule(() -> {
                 if (listener.isRegistered()) {
@@ -387,6 +408,16 @@
                     && (askedSinceUs != Long.MAX_VALUE || decoder.mayHaveMore());
         }
 
+        /**
+         * Reads what has come since the loop last looked at its sockets: a close over a request that lies unread would
+         * reset the connection. What comes after this look crosses the close, and is not taken on.
+         */
+        private void catchUp() {
+            if (context.channel().isActive() && context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+                socket.read();
+            }
+        }
+
         private int usefulness(final long idleBeforeUs) {
             if (ended) {
                 return 0;
--- /dev/null
+++ b/src/test/java/driftchute/node/IdleCloseCrossingTest.java
@@ -0,0 +1,246 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A request and the close of its connection, which rests, in one turn of the event loop, in both orders: the test holds
+ * the loop, and lets the client write before or after the close.
+ */
+@Timeout(120)
+final class IdleCloseCrossingTest {
+    private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+    /** After 2 s a connection may be closed on which nothing is asked (TERMS-irishead.md). */
+    private static final long IDLE_US = 2_000_000;
+    private static final String NOTHING = "00000000";
+
+    @TempDir
+    private Path folder;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Clock clock = new Clock();
+    private Rig rig;
+    private Host host;
+    private Intake intake;
+    private int port;
+
+    @AfterEach
+    void end() throws Exception {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
+        rig.close();
+    }
+
+    private <T> T onLoop(final Callable<T> step) throws Exception {
+        return loop.submit(step).get(Rig.PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    private void start(final int sockets) throws Exception {
+        rig = new Rig(folder);
+        rig.sockets = sockets;
+        final Config config = Config.read(Map.of("PROXY_CONFIG", rig.configure(rig.platform.address()).toString(),
+                "PROXY_STATE", folder.resolve("state").toString()));
+        onLoop(() -> {
+            final Orders orders = new Orders(config.state());
+            host = new Host(config, loop, clock, new Journal(config.state(), config.diskBytes()), orders);
+            host.start();
+            host.takeUp();
+            intake = new Intake(config, clock, host, orders);
+            return intake.listen(group, loop);
+        }).sync();
+        port = Integer.parseInt(intake.address().replaceFirst(".*:", ""));
+        rig.await("the watch", () -> !rig.watches.isEmpty());
+    }
+
+    private Socket connect() throws IOException {
+        final Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Rig.PATIENCE_S));
+        return socket;
+    }
+
+    /** A connection that the loop has accepted, and read an empty line from, which asks nothing. */
+    private Socket accepted() throws IOException {
+        final Socket socket = connect();
+        socket.getOutputStream().write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        rig.await("its accept", () -> unread(socket).equals(NOTHING));
+        return socket;
+    }
+
+    /** On the loop: writes, and returns once that lies unread at the courier's socket. */
+    private static void leaveUnread(final Socket socket, final String raw) throws IOException {
+        socket.getOutputStream().write(raw.getBytes(StandardCharsets.ISO_8859_1));
+        while (unread(socket).equals(NOTHING)) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** What the system says that the other side of a connection has not read yet. */
+    private static String unread(final Socket socket) {
+        final String here = ":%04X".formatted(socket.getLocalPort());
+        final String there = ":%04X".formatted(socket.getPort());
+        return Stream.of("/proc/net/tcp", "/proc/net/tcp6").flatMap(IdleCloseCrossingTest::lines)
+                .map(line -> line.trim().split("\\s+"))
+                .filter(line -> line[1].endsWith(there) && line[2].endsWith(here))
+                .map(line -> line[4].replaceFirst(".*:", "")).findFirst().orElse(NOTHING);
+    }
+
+    private static Stream<String> lines(final String file) {
+        try {
+            return Files.readAllLines(Path.of(file)).stream();
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void holdUntil(final long us) {
+        while (clock.nowUs() < us) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** The first status, and then the connection's end, which has to be an orderly one; 0 for the end alone. */
+    private static int statusAndEnd(final Socket socket) throws IOException {
+        final int status = Rig.read(socket.getInputStream()).status();
+        assertEquals(-1, status == 0 ? -1 : socket.getInputStream().read());
+        return status;
+    }
+
+    private boolean holds(final String id) throws Exception {
+        return onLoop(() -> host.holds(id));
+    }
+
+    @Test
+    void aRequestThatCameBeforeTheSweepClosesItsConnectionIsAnswered() throws Exception {
+        start(1024);
+        rig.first.script((request, connection) -> { });
+        try (Socket used = connect(); Socket fresh = accepted()) {
+            assertEquals(200, Rig.send(used, UP).status());
+            onLoop(() -> {
+                intake.drain();
+                holdUntil(clock.nowUs() + IDLE_US);
+                leaveUnread(used, Rig.message("used", "safe"));
+                leaveUnread(fresh, Rig.message("fresh", "safe"));
+                intake.sweep();
+                return null;
+            });
+            assertEquals(202, statusAndEnd(used));
+            assertEquals(202, statusAndEnd(fresh));
+            assertTrue(holds("used") && holds("fresh"));
+        }
+    }
+
+    @Test
+    void halfARequestThatCameBeforeTheSweepMayBeEnded() throws Exception {
+        start(1024);
+        final String message = Rig.message("half", "safe");
+        try (Socket used = connect()) {
+            assertEquals(200, Rig.send(used, UP).status());
+            onLoop(() -> {
+                intake.drain();
+                holdUntil(clock.nowUs() + IDLE_US);
+                leaveUnread(used, message.substring(0, 30));
+                intake.sweep();
+                return null;
+            });
+            used.getOutputStream().write(message.substring(30).getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(202, statusAndEnd(used));
+        }
+    }
+
+    @Test
+    void aRequestThatComesAfterTheCloseIsNotTakenOnAndMayComeAgain() throws Exception {
+        start(1024);
+        rig.first.script((request, connection) -> { });
+        final String message = Rig.message("late", "safe");
+        try (Socket used = connect()) {
+            assertEquals(200, Rig.send(used, UP).status());
+            onLoop(() -> {
+                intake.drain();
+                holdUntil(clock.nowUs() + IDLE_US);
+                intake.sweep();
+                leaveUnread(used, message);
+                return null;
+            });
+            assertEquals(0, statusAndEnd(used));
+            assertFalse(holds("late"));
+            try (Socket fresh = connect()) {
+                assertEquals(202, Rig.send(fresh, message).status());
+            }
+            rig.await("the call", () -> !rig.first.requests.isEmpty());
+            assertEquals(1, rig.first.requests.size());
+        }
+    }
+
+    /** At the end of the process it is too late to take anything on; yet what came is told so. */
+    @Test
+    void aRequestThatCameBeforeTheEndOfTheProcessIsRefused() throws Exception {
+        start(1024);
+        try (Socket used = connect(); Socket fresh = accepted()) {
+            assertEquals(200, Rig.send(used, UP).status());
+            onLoop(() -> {
+                leaveUnread(used, Rig.message("used", "safe"));
+                leaveUnread(fresh, Rig.message("fresh", "safe"));
+                intake.hangUp();
+                return null;
+            });
+            assertEquals(503, statusAndEnd(used));
+            assertEquals(503, statusAndEnd(fresh));
+            assertFalse(holds("used") || holds("fresh"));
+        }
+    }
+
+    /** The crowd: one of two idle connections has to make room for a third, and a request lies unread on the older one. */
+    @Test
+    void oneThatHasJustAskedMakesNoRoomForAnother() throws Exception {
+        start(5);
+        try (Socket older = accepted(); Socket younger = accepted(); Socket third = onLoop(() -> {
+            // In this order the loop comes to them: the new connection first.
+            final Socket next = connect();
+            leaveUnread(older, Rig.message("older", "safe"));
+            return next;
+        })) {
+            assertEquals(202, Rig.read(older.getInputStream()).status());
+            assertEquals(-1, younger.getInputStream().read());
+            assertEquals(200, Rig.send(third, UP).status());
+        }
+    }
+
+    /** The other order: what comes behind the close is reset, and nothing of it is taken on. */
+    @Test
+    void oneThatAsksAfterItHasMadeRoomIsReset() throws Exception {
+        start(5);
+        try (Socket older = accepted(); Socket younger = accepted(); Socket third = connect()) {
+            assertEquals(200, Rig.send(third, UP).status());
+            assertEquals(-1, older.getInputStream().read());
+            older.getOutputStream().write(Rig.message("older", "safe").getBytes(StandardCharsets.ISO_8859_1));
+            rig.await("its reset", () -> {
+                try {
+                    older.getOutputStream().write('x');
+                    return false;
+                } catch (final IOException e) {
+                    return true;
+                }
+            });
+            assertFalse(holds("older"));
+            assertEquals(200, Rig.send(younger, UP).status());
+        }
+    }
+}
