An id that was taken on is not taken on again before its message's time is up

A message whose client goes with the 202 still unsent is withdrawn, while its call may be out. Handed in again under its id it was taken on (202), and the outcome of the first call was told to the second message. The same id right behind its message's end was taken on and called again, also where the class may not be repeated. Intake remembers what it answered with 202 until its time is up and 1 s more, when no call of it can be out, and answers 409 until then, as for an id that is held. What was refused may come again.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -40,9 +40,11 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -93,6 +95,8 @@
     /** For how long a request may have waited to be read, beyond what an end may be late anyway. */
     private static final long WAITED_US = 200_000;
     private static final long GONE_RETRY_US = 500_000;
+    /** For how long after its time an id is not taken on again: by then its last call is surely over. */
+    private static final long TAKEN_US = 1_000_000;
     /** Share of the descriptors for clients. */
     private static final double SOCKET_SHARE = 0.4;
 
@@ -102,6 +106,8 @@
     private final Orders orders;
     private final int mostConnections;
     private final Set<Session> sessions = new HashSet<>();
+    /** Messages that were taken on, by their ids, and until when each of them is not taken on again. */
+    private final Map<String, Long> takenUntilUs = new HashMap<>();
     private int heldBytes;
     private ServerSocketChannel socket;
     private Channel listener;
@@ -252,6 +258,7 @@
         drainedSinceUs = isDraining() ? Math.min(drainedSinceUs, nowUs) : Long.MAX_VALUE;
         final long idleUs = idleUs(nowUs);
         tellCrowd(nowUs);
+        takenUntilUs.values().removeIf(untilUs -> untilUs <= nowUs);
         for (final Session session : List.copyOf(sessions)) {
             if (session.askedSinceUs <= nowUs - REQUEST_US && !session.closing) {
                 unfinished++;
@@ -636,16 +643,19 @@
                 answer(HttpResponseStatus.NOT_FOUND, 0);
                 return;
             }
-            if (host.holds(id)) {
+            // One that has just ended, or was withdrawn, may have its call still out: nobody could tell the two apart.
+            if (host.holds(id) || takenUntilUs.getOrDefault(id, 0L) > clock.nowUs()) {
                 answer(HttpResponseStatus.CONFLICT, 0);
                 return;
             }
             final long lifeUs = lifeUs(timeoutMs, kind.deadlineUs());
+            final long validUntilUs = clock.nowUs() + lifeUs;
             currentId = id;
             host.offer(new Held(id, kind.name(), key, destination, clock.wallUs() + lifeUs, request.body()),
-                    clock.nowUs() + lifeUs, new Host.Reply() {
+                    validUntilUs, new Host.Reply() {
                         @Override
                         public void accepted() {
+                            takenUntilUs.put(id, validUntilUs + TAKEN_US);
                             // A client that never gets this counts on nothing: its message is withdrawn.
                             answer(HttpResponseStatus.valueOf(ACCEPTED), 0).addListener(done -> {
                                 if (!done.isSuccess()) {
--- /dev/null
+++ b/src/test/java/driftchute/node/RepeatedIdTest.java
@@ -0,0 +1,232 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A message whose id comes again, before and after the first one's end or withdrawal. */
+@Timeout(120)
+final class RepeatedIdTest {
+    private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+    /** Far fewer than make a connection count as one that is not read. */
+    private static final int BATCH = 50;
+
+    @TempDir
+    private Path folder;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private Rig rig;
+    private Host host;
+    private int port;
+
+    @AfterEach
+    void end() throws Exception {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
+        rig.close();
+    }
+
+    private <T> T onLoop(final Callable<T> step) throws Exception {
+        return loop.submit(step).get(Rig.PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    private void start(final int maxOpen) throws Exception {
+        rig = new Rig(folder);
+        rig.maxOpen = maxOpen;
+        final Config config = Config.read(Map.of("PROXY_CONFIG", rig.configure(rig.platform.address()).toString(),
+                "PROXY_STATE", folder.resolve("state").toString()));
+        final Intake intake = onLoop(() -> {
+            final Clock clock = new Clock();
+            final Orders orders = new Orders(config.state());
+            host = new Host(config, loop, clock, new Journal(config.state(), config.diskBytes()), orders);
+            host.start();
+            host.takeUp();
+            return new Intake(config, clock, host, orders);
+        });
+        onLoop(() -> intake.listen(group, loop)).sync();
+        port = Integer.parseInt(intake.address().replaceFirst(".*:", ""));
+        rig.await("the watch", () -> !rig.watches.isEmpty());
+    }
+
+    private Rig.Answer send(final String raw) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Rig.PATIENCE_S));
+            return Rig.send(socket, raw);
+        }
+    }
+
+    private int handIn(final String id, final String kind) throws IOException {
+        return send(Rig.message(id, kind)).status();
+    }
+
+    private boolean holds(final String id) {
+        try {
+            return onLoop(() -> host.holds(id));
+        } catch (final Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private long calls(final String id) {
+        return rig.first.requests.stream().filter(request -> id.equals(request.header("X-Request-ID"))).count();
+    }
+
+    @Test
+    void anIdComesAgainBeforeAndRightBehindItsMessagesEnd() throws Exception {
+        start(50);
+        final List<FakeServer.Connection> held = new ArrayList<>();
+        rig.first.script((request, connection) -> held.add(connection));
+        assertEquals(202, handIn("m1", "once"));
+        rig.await("the call", () -> held.size() == 1);
+        assertEquals(409, handIn("m1", "once"));
+        rig.first.script((request, connection) -> connection.answer(200, ""));
+        held.get(0).answer(200, "");
+        rig.await("its end", () -> !holds("m1"));
+        assertEquals(409, handIn("m1", "once"));
+        assertEquals(202, handIn("m2", "once"));
+        rig.await("the other one", () -> calls("m2") == 1);
+        assertEquals(1, calls("m1"));
+    }
+
+    /** What was refused is held nowhere: it may come again as it is. */
+    @Test
+    void anIdThatWasRefusedMayComeAgain() throws Exception {
+        start(3);
+        final List<FakeServer.Connection> held = new ArrayList<>();
+        rig.first.script((request, connection) -> held.add(connection));
+        int refused = 0;
+        while (handIn("m" + refused, "safe") == 202) {
+            refused++;
+        }
+        final String id = "m" + refused;
+        rig.first.script((request, connection) -> connection.answer(200, ""));
+        rig.await("a call", () -> !held.isEmpty());
+        held.forEach(connection -> connection.answer(200, ""));
+        rig.await("room", () -> {
+            try {
+                return handIn(id, "safe") == 202;
+            } catch (final IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        rig.await("its call", () -> calls(id) == 1);
+    }
+
+    /** Only for as long as a call can be out: what is remembered does not grow. */
+    @Test
+    void anIdMayComeAgainLongAfterItsTime() throws Exception {
+        start(50);
+        final String brief = Rig.message("m1", "safe").replace("X-Timeout-Ms: 20000", "X-Timeout-Ms: 400");
+        assertEquals(202, send(brief).status());
+        rig.await("its second time", () -> {
+            try {
+                return send(brief).status() == 202;
+            } catch (final IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        rig.await("both", () -> calls("m1") == 2);
+    }
+
+    /** Of a courier's socket, what is left unsent (first) and unread, as the system says. */
+    private static String[] queues(final SocketChannel client) throws IOException {
+        final String here = ":%04X".formatted(((InetSocketAddress) client.getLocalAddress()).getPort());
+        final String there = ":%04X".formatted(((InetSocketAddress) client.getRemoteAddress()).getPort());
+        return Stream.of("/proc/net/tcp", "/proc/net/tcp6").flatMap(RepeatedIdTest::lines)
+                .map(line -> line.trim().split("\\s+"))
+                .filter(line -> line[1].endsWith(there) && line[2].endsWith(here))
+                .map(line -> line[4].split(":")).findFirst().orElseThrow();
+    }
+
+    private static Stream<String> lines(final String file) {
+        try {
+            return Files.readAllLines(Path.of(file)).stream();
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Writes that, and returns once the courier has read and answered it, as far as the system takes its answers. */
+    private void write(final SocketChannel client, final String raw) throws Exception {
+        final ByteBuffer bytes = ByteBuffer.wrap(raw.getBytes(StandardCharsets.ISO_8859_1));
+        while (bytes.hasRemaining()) {
+            client.write(bytes);
+        }
+        rig.await("its reading", () -> {
+            try {
+                return queues(client)[1].equals("00000000");
+            } catch (final IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        onLoop(() -> null);
+    }
+
+    /** Its client goes with the 202 still unsent, so that it is withdrawn, while the call is out. */
+    @Test
+    void anIdThatWasWithdrawnWithItsCallOutIsNotTakenOnAgain() throws Exception {
+        start(50);
+        final List<FakeServer.Connection> held = new ArrayList<>();
+        rig.first.script((request, connection) -> held.add(connection));
+        try (SocketChannel client = SocketChannel.open()) {
+            client.setOption(StandardSocketOptions.SO_RCVBUF, 1024);
+            client.connect(new InetSocketAddress("127.0.0.1", port));
+            String unsent = "";
+            for (String now = queues(client)[0]; !now.equals(unsent) || unsent.equals("00000000"); now = queues(client)[0]) {
+                unsent = now;
+                write(client, UP.repeat(BATCH));
+            }
+            write(client, Rig.message("m1", "once"));
+            rig.await("the call", () -> held.size() == 1);
+            assertTrue(holds("m1"));
+            client.setOption(StandardSocketOptions.SO_LINGER, 0);
+        }
+        rig.await("the withdrawal", () -> !holds("m1"));
+        assertNotEquals(202, handIn("m1", "once"));
+        rig.first.script((request, connection) -> connection.answer(200, ""));
+        held.get(0).answer(200, "");
+        assertEquals(202, handIn("m2", "once"));
+        rig.await("another one's call", () -> calls("m2") == 1);
+        assertEquals(1, calls("m1"));
+    }
+
+    /** No time left, hardly any, more than there can be, and what is no whole number. */
+    @Test
+    void aTimeOutOfTheRangeIsAnsweredAndTheMessageComesToAnEnd() throws Exception {
+        start(50);
+        for (final String time : List.of("0", "1", "3", "9223372036854775807")) {
+            final String id = "t" + time;
+            final int status = send(Rig.message(id, "safe").replace("Ms: 20000", "Ms: " + time)).status();
+            assertTrue(List.of(202, 429, 500, 503).contains(status), time + ": " + status);
+            rig.await("the end of " + id, () -> !holds(id));
+            assertTrue(status == 202 || calls(id) == 0);
+        }
+        for (final String time : List.of("-1", "", "1.5", "1e3", "9223372036854775808", "none")) {
+            assertEquals(400, send(Rig.message("x", "safe").replace("Ms: 20000", "Ms: " + time)).status(), time);
+        }
+        assertEquals(0, calls("x"));
+    }
+}
