100 Continue keeps the order of the answers, and is not said to a request turned away

The library's handler said it as soon as a head had come, before the answer to an earlier request on that connection: a client takes it for that one's interim answer and waits for its own, so that its body comes too late or never (408). A body far too large was first asked for, then refused. The session now says it in the request's turn.

--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -25,7 +25,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -157,8 +156,7 @@
                     @Override
                     protected void initChannel(final Channel channel) {
                         final Session session = new Session();
-                        channel.pipeline().addLast(session.decoder, new HttpResponseEncoder(),
-                                new HttpServerExpectContinueHandler(), session);
+                        channel.pipeline().addLast(session.decoder, new HttpResponseEncoder(), session);
                     }
                 }).bind(config.listen());
         listener = bound.channel();
@@ -375,6 +373,8 @@
         private Request current;
         private String currentId;
         private boolean reading;
+        /** Its client waits to be told to send the body (RFC 9110, 10.1.1), and is told so in the request's turn. */
+        private boolean expectsContinue;
         private boolean hasAsked;
         /** What is said to a request that is not read to its end, once all before it is answered. */
         private HttpResponseStatus refusal;
@@ -539,6 +539,8 @@
                     reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                     return;
                 }
+                expectsContinue = HttpUtil.is100ContinueExpected(request);
+                sayContinue();
             }
             if (part instanceof HttpContent content && reading) {
                 final int more = content.content().readableBytes();
@@ -560,9 +562,19 @@
             }
         }
 
+        /** An interim answer keeps the order too: before an earlier request is answered it would count as that one's. */
+        private void sayContinue() {
+            if (expectsContinue && current == null && queue.isEmpty() && !closing) {
+                expectsContinue = false;
+                context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                        Unpooled.EMPTY_BUFFER));
+            }
+        }
+
         /** A request has come whole: it takes its turn. */
         private void complete() {
             reading = false;
+            expectsContinue = false;
             hasAsked = true;
             askedSinceUs = Long.MAX_VALUE;
             queue.add(new Request(head, body.toByteArray()));
@@ -585,6 +597,7 @@
                 sayLast();
             }
             if (!ended) {
+                sayContinue();
                 final boolean reads = queue.isEmpty() && channel.isWritable();
                 if (reads && !channel.config().isAutoRead() && askedSinceUs != Long.MAX_VALUE) {
                     // Meanwhile it could not go on.
--- /dev/null
+++ b/src/test/java/driftchute/node/ExpectContinueTest.java
@@ -0,0 +1,95 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Clients that send a body only when told to, before and after an earlier request's answer or the connection's end. */
+@Timeout(120)
+final class ExpectContinueTest {
+    private static final String EXPECT = "Expect: 100-continue\r\nContent-Length:";
+
+    @TempDir
+    private Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        rig = new Rig(folder);
+        rig.start();
+        rig.await("the watch", () -> rig.watches.size() == 1);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        rig.close();
+    }
+
+    private static String head(final String id) {
+        final String message = Rig.message(id, "safe").replace("Content-Length:", EXPECT);
+        return message.substring(0, message.length() - "hello".length());
+    }
+
+    private static void write(final Socket socket, final String raw) throws IOException {
+        socket.getOutputStream().write(raw.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static int status(final Socket socket) throws IOException {
+        return Rig.read(socket.getInputStream()).status();
+    }
+
+    @Test
+    void oneThatStandsBehindAnotherRequestIsToldToGoOnAfterThatOnesAnswer() throws IOException {
+        try (Socket socket = rig.connect()) {
+            write(socket, Rig.message("first", "safe") + head("second"));
+            assertEquals(202, status(socket));
+            assertEquals(100, status(socket));
+            write(socket, "hello" + head("third"));
+            assertEquals(202, status(socket));
+            assertEquals(100, status(socket));
+            write(socket, "hello");
+            assertEquals(202, status(socket));
+        }
+        rig.await("the calls", () -> rig.first.requests.size() == 3);
+    }
+
+    /** The body comes without being asked for, which is allowed: then nothing needs to be said. */
+    @Test
+    void oneThatDoesNotWaitIsAnsweredInOrder() throws IOException {
+        try (Socket socket = rig.connect()) {
+            write(socket, Rig.message("first", "safe") + head("second") + "hello");
+            assertEquals(202, status(socket));
+            assertEquals(202, status(socket));
+        }
+    }
+
+    @Test
+    void oneThatIsTurnedAwayAtItsHeadIsNotToldToGoOn() throws IOException {
+        try (Socket socket = rig.connect()) {
+            write(socket, head("large").replace("Length: 5", "Length: 60000000"));
+            assertEquals(413, status(socket));
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
+    /** It waits for its turn as the request before it ends the connection. */
+    @Test
+    void oneBehindARequestThatCannotBeHadIsTurnedAway() throws IOException {
+        try (Socket socket = rig.connect()) {
+            write(socket, Rig.message("no", "safe").replace("dest=7", "dest=8") + head("second"));
+            assertEquals(404, status(socket));
+            assertEquals(100, status(socket));
+            write(socket, "hello");
+            assertEquals(503, status(socket));
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+}
