A notice's connection that had no descriptor is not closed, it was never open

Seen: a SIGHUP that moves the platform in the very turn in which the connection for a notice could not be had for want of a descriptor ended in an exception ("channel not registered to an event loop") in the middle of the move: the notice did not go to the new address with it, but only with a later pass. The time-out of the answer takes the same way.

Cause: Notices.Line.close() closed whatever channel it had. The one that the library hands out where a socket cannot be made belongs to no event loop, and closing it throws.

Change: only what is open is closed, as Watches does.

--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -240,7 +240,10 @@
         }
 
         private void close() {
-            channel.close();
+            // One for which there was no descriptor was never open, and has no event loop to close it on.
+            if (channel.isOpen()) {
+                channel.close();
+            }
         }
 
         /** Only the connection in use counts, and only what answers a batch. */
