A configuration whose addresses are no figures, or that has a rest behind it, is refused

Seen: with "nowhere.invalid:8500" as discovery a courier started and ran on, and a SIGHUP left the address that worked for one that nothing can reach. A file with another's rest behind its object (written over while it is read) counted, as did settings that are a list and classes that are a number: a courier that knows no class.

Cause: Config.address took any text before the colon and let it be looked up as a name, though there is no DNS; a dial of the list was looked up so on the event loop. Port 0 passed where something is to be reached. The parser stopped at the end of the first value.

Change: addresses are figures; discovery, peers and dials have a port; trailing tokens, settings that are no object and classes that are no list are refused. One line each, exit 1 at the start, on SIGHUP the old configuration stays.

--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -1,5 +1,6 @@
 package driftchute.node;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import driftchute.Courier;
@@ -7,8 +8,11 @@
 import driftchute.bench.MalformedLineException;
 import driftchute.bench.SettingsReader;
 import driftchute.node.fleet.FleetSettings;
+import io.netty.util.NetUtil;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -48,7 +52,9 @@
         }
         final JsonNode root;
         try {
-            root = new ObjectMapper().readTree(Files.readAllBytes(Path.of(file)));
+            // What stands behind the object is the rest of a file that is being written over.
+            root = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .readTree(Files.readAllBytes(Path.of(file)));
         } catch (final IOException e) {
             throw new BadConfigException("cannot read " + file + ": " + e.getMessage().lines().findFirst().orElse(""));
         }
@@ -59,6 +65,13 @@
         if (root == null || !root.isObject()) {
             throw new BadConfigException(SOURCE + ": not a JSON object");
         }
+        final JsonNode classes = root.path("settings").path("classes");
+        if (root.has("settings") && !root.get("settings").isObject()) {
+            throw new BadConfigException(SOURCE + ": 'settings' is no object");
+        }
+        if (!classes.isMissingNode() && !classes.isArray()) {
+            throw new BadConfigException(SOURCE + ": 'settings.classes' is no list");
+        }
         // Two name spaces: "discovery" is an address outside the settings, and a way of asking inside them.
         final Map<String, String> values = new HashMap<>();
         root.properties().forEach(entry -> {
@@ -86,7 +99,7 @@
         try {
             return new Config(fields.text("name", "courier"), address("listen", fields.text("listen")),
                     fields.text("mgmt", "").isEmpty() ? null : address("mgmt", fields.text("mgmt")),
-                    address("discovery", fields.text("discovery")), Path.of(fields.text("state")),
+                    remote("discovery", fields.text("discovery")), Path.of(fields.text("state")),
                     seed(fields.text("seed", "0")), (int) atLeastOne(fields, "limits.sockets", 1024),
                     atLeastOne(fields, "limits.disk_mb", 1) * BYTES_PER_MB, root.path("known"),
                     SettingsReader.read(settings), atLeastOne(settings, "limits.connect_timeout", 1_000_000),
@@ -105,7 +118,7 @@
         }
         final var block = FleetSettings.block(root.path("fleet"));
         final List<InetSocketAddress> peers = Arrays.stream(fields.list("peers"))
-                .map(text -> address("peers", text)).toList();
+                .map(text -> remote("peers", text)).toList();
         if (!List.of("1", "true").contains(settings.text("limits.may_tell", "0")) || peers.isEmpty()) {
             Log.info("fleet: off: " + (peers.isEmpty() ? "no 'peers'" : "'limits.may_tell' does not allow peers"));
             return null;
@@ -154,15 +167,28 @@
         }
     }
 
-    /** An address with its port, both as figures: there is no DNS. Port 0 lets the system choose one to listen on. */
+    /** Where something listens that is to be reached; as {@link #address}, with a port. */
+    static InetSocketAddress remote(final String what, final String text) {
+        final InetSocketAddress address = address(what, text);
+        if (address.getPort() == 0) {
+            throw new IllegalArgumentException("'" + what + "' has no port: '" + text + "'");
+        }
+        return address;
+    }
+
+    /**
+     * An address with its port, both as figures: there is no DNS, and a name would be looked up on the event loop. Port 0
+     * lets the system choose one to listen on.
+     */
     static InetSocketAddress address(final String what, final String text) {
         final int colon = text.lastIndexOf(':');
         try {
+            final byte[] figures = NetUtil.createByteArrayFromIpAddressString(text.substring(0, Math.max(0, colon)));
             final int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && port >= 0 && port <= MOST_PORT) {
-                return new InetSocketAddress(text.substring(0, colon), port);
+            if (figures != null && port >= 0 && port <= MOST_PORT) {
+                return new InetSocketAddress(InetAddress.getByAddress(figures), port);
             }
-        } catch (final NumberFormatException e) {
+        } catch (final NumberFormatException | UnknownHostException e) {
             throw new IllegalArgumentException("'" + what + "' is no address: '" + text + "'", e);
         }
         throw new IllegalArgumentException("'" + what + "' is no address: '" + text + "'");
--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -163,7 +163,7 @@
     private Entry entry(final JsonNode node) {
         final Courier.Endpoint endpoint = endpoint(node);
         return new Entry(endpoint, endpoint.condition() == Courier.Condition.GONE ? null
-                : Config.address("dial", node.path("dial").asText()));
+                : Config.remote("dial", node.path("dial").asText()));
     }
 
     private Courier.Endpoint endpoint(final JsonNode node) {
