--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -36,11 +36,9 @@
     /** Floor of a window, calls: a lane must always be able to learn. */
     private static final double WINDOW_FLOOR = 1;
     /** A new lane's window, calls: one slow answer may not block it; in a large fleet clumps come first. */
-    private static final double WINDOW_START = 2;
-    private static final double WINDOW_RARE = 4;
+    private static final double WINDOW_START = 2, WINDOW_RARE = 4;
     /** Shares of the slots that one lane may hold, healthy and sick: the design's. */
-    private static final double HEALTHY_SHARE = 0.75;
-    private static final double SICK_SHARE = 0.5;
+    private static final double HEALTHY_SHARE = 0.75, SICK_SHARE = 0.5;
     /** A share, nearer High than Medium: an input above it makes a lane sick for a step. */
     private static final double SLOW_INPUT = 0.75;
     /** Samples at the average, mixed into a step's mean latency: two or three answers say little. */
@@ -70,15 +68,13 @@
     /** Least pause of a lane after a refusal, us: limits are counted over spans of about a second. */
     private static final long PAUSE_US = SECOND_US / 2;
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
-    private static final double SPACING = 1.2;
-    private static final double SPACING_LEAST = 0.5;
+    private static final double SPACING = 1.2, SPACING_LEAST = 0.5;
     /** Part of a limit's unused share that one courier takes: another may take to it at the same moment. */
     private static final double LEFT_PART = 0.25;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
     /** Weights in the run of bad outcomes, where a failure weighs 1: crowding refuses too, errors mix. */
-    private static final double REFUSED_WEIGHT = 0.5;
-    private static final double ERROR_WEIGHT = 0.4;
+    private static final double REFUSED_WEIGHT = 0.5, ERROR_WEIGHT = 0.4;
     /** A run of this weight without success is an outage; so is this share of failures: most, and chance. */
     private static final double OUT_WEIGHT = 3;
     /** A run of this weight, nothing served for a while before it, may be all that is seen of an outage. */
@@ -98,13 +94,11 @@
 
     // Choice.
     /** What a handshake and a crossing of zones weigh in the choice of an endpoint, in calls in flight. */
-    private static final double HANDSHAKE_LOAD = 0.8;
-    private static final double CROSS_LOAD = 0.6;
+    private static final double HANDSHAKE_LOAD = 0.8, CROSS_LOAD = 0.6;
     /** Chance that a message put off is served after all, in a short line; half of it in a long one. */
     private static final double KEPT = 0.9;
     /** How far ahead a line is looked along, us: the next call at least, and what fades at most. */
-    private static final long HORIZON_LEAST_US = SECOND_US;
-    private static final long HORIZON_MOST_US = 10 * SECOND_US;
+    private static final long HORIZON_LEAST_US = SECOND_US, HORIZON_MOST_US = 10 * SECOND_US;
     /** Share of worth beyond a quota, of which we see a part; messages in a burst that chance may bring. */
     private static final double OVER_QUOTA = 0.25;
     private static final double QUOTA_BURST = 10;
@@ -122,8 +116,7 @@
     /** Calls' time within which a connection waits for its next use: a few for each call in flight. */
     private static final double REUSE_CALLS = 2;
     /** First and longest back-off of asking for the list again, us: soon, but without burdening it. */
-    private static final long ASK_LEAST_US = SECOND_US / 2;
-    private static final long ASK_MOST_US = 3 * SECOND_US;
+    private static final long ASK_LEAST_US = SECOND_US / 2, ASK_MOST_US = 3 * SECOND_US;
     /** How soon a message that an endpoint or a key holds back is looked at again, us. */
     private static final long POLL_US = 20_000;
     /** A destination or route without an endpoint is forgotten so long after its last use, us. A default. */
