Couriers that were turned away together do not come back together

A throw-away trace of each outcome (104 couriers): 4,163 of 9,525 calls turned away, at each destination in waves as far apart as the even part of its limit is long (couriers / limit: 4.8 s where 5.3 s were seen, 4.3 and 4.8, 2.8 and 3.4 s).

Ruled out: outages (258 of 264 lanes seen were well), the pause of half a second alone (ended long before).

CrowdedLimitTest: of 50 couriers turned away at once all came back in one moment before; fewer than half within a fifth of the length now.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -764,6 +764,11 @@
                 final long gapUs = patienceUs(lane, fromUs);
                 final boolean told = outcome.waitUs() > 0;
                 lane.pauseUntilUs = fromUs + (told ? (long) (random.nextDouble() * gapUs) : jitter(gapUs));
+                if (settings.couriers() > FEW_COURIERS) {
+                    // Turned away together, couriers of one pace would come again together, over and over.
+                    lane.pauseUntilUs = Math.max(lane.pauseUntilUs, lane.lastSendUs + (long) (SECOND_US
+                            * (1 + random.nextDouble()) / partOfLimit(lane)));
+                }
                 suspect(lane, outcome.waitUs() > LIMIT_WAIT_US ? OUT_WEIGHT : part * REFUSED_WEIGHT);
             }
             case ERROR -> {
--- /dev/null
+++ b/src/test/java/driftchute/CrowdedLimitTest.java
@@ -0,0 +1,44 @@
+package driftchute;
+
+import static driftchute.Scene.DEST;
+import static driftchute.Scene.MS;
+import static driftchute.Scene.SECOND;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import driftchute.Courier.Result;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+
+/** Many couriers at a destination that is asked for more than its limit, and one whose store is full. */
+final class CrowdedLimitTest {
+    private static final int COURIERS = 50;
+    private static final double LIMIT = 10;
+
+    /**
+     * All are turned away in one moment, and all have more to send. Their even parts of the limit are of one length: coming
+     * back after just that, they would be turned away together again, and so on (panela-poa, calm).
+     */
+    @Test
+    void couriersTurnedAwayTogetherDoNotComeBackTogether() {
+        final List<Long> againUs = new ArrayList<>();
+        for (int courier = 0; courier < COURIERS; courier++) {
+            final Scene scene = new Scene(Scene.fleetOf(COURIERS), Scene.seed(courier));
+            scene.list(Courier.Update.RESTORED, Scene.endpoint(1, DEST, "a"));
+            scene.take("first", 0);
+            scene.deliver("first", new Courier.Allowance(0, LIMIT));
+            scene.take("turned away", 0);
+            scene.pass(5100 * MS);
+            scene.end("turned away", Result.REFUSED);
+            final long turnedAwayUs = scene.nowUs;
+            scene.pass(12 * SECOND);
+            againUs.add(scene.last("turned away").atUs() - turnedAwayUs);
+        }
+        final long evenGapUs = (long) (COURIERS / LIMIT * SECOND);
+        final long busiest = againUs.stream().mapToLong(from -> againUs.stream()
+                .filter(at -> at >= from && at < from + evenGapUs / 5).count()).max().orElseThrow();
+        assertThat(busiest).as("couriers that come back within a fifth of the gap, of " + COURIERS + ": " + new TreeSet<>(againUs))
+                .isLessThan(COURIERS / 2);
+    }
+}
