What is left of a limit is taken once by a large fleet, not once by each courier

Cause: LEFT_PART reckoned with one or two others. Change: a courier takes a quarter, and four even parts of what is left at most (so nothing changes up to sixteen couriers). CrowdedLimitTest: 50 couriers made 100 calls in the second behind such a report, at a limit of 10; now 60 at most, most of them by their windows.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -69,8 +69,8 @@
     private static final long PAUSE_US = SECOND_US / 2;
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
     private static final double SPACING = 1.2, SPACING_LEAST = 0.5;
-    /** Part of a limit's unused share that one courier takes: another may take to it at the same moment. */
-    private static final double LEFT_PART = 0.25;
+    /** Part of a limit's unused share that one courier takes, in even parts of it at most: others take to it too. */
+    private static final double LEFT_PART = 0.25, LEFT_EVEN = 4;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
     /** Weights in the run of bad outcomes, where a failure weighs 1: crowding refuses too, errors mix. */
@@ -460,7 +460,8 @@
         }
         if (lane.reportedLimit > 0) {
             return Math.max(lane.reportedLimit / settings.couriers(),
-                    lane.callRate + LEFT_PART * lane.shareLeft * lane.reportedLimit);
+                    lane.callRate + Math.min(LEFT_PART, LEFT_EVEN / settings.couriers()) * lane.shareLeft
+                            * lane.reportedLimit);
         }
         return settings.weights() == Weights.NOMINAL && lane.told > 0 ? lane.told : Double.POSITIVE_INFINITY;
     }
--- a/src/test/java/driftchute/CrowdedLimitTest.java
+++ b/src/test/java/driftchute/CrowdedLimitTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Many couriers at a destination that is asked for more than its limit, and one whose store is full. */
@@ -41,4 +42,20 @@
         assertThat(busiest).as("couriers that come back within a fifth of the gap, of " + COURIERS + ": " + new TreeSet<>(againUs))
                 .isLessThan(COURIERS / 2);
     }
+
+    /** What others leave of a limit is there for all of them: the report that tells of it is heard by all at once. */
+    @Test
+    void aLargeFleetDoesNotTakeTheUnusedShareManyTimesOver() {
+        int sent = 0;
+        for (int courier = 0; courier < COURIERS; courier++) {
+            final Scene scene = new Scene(Scene.fleetOf(COURIERS), Scene.seed(courier));
+            scene.list(Courier.Update.RESTORED, Scene.endpoint(1, DEST, "a"));
+            scene.take("first", 0);
+            scene.deliver("first", new Courier.Allowance(1, LIMIT));
+            IntStream.range(0, 4).forEach(i -> scene.take("more" + i, 0));
+            scene.pass(SECOND);
+            sent += scene.sent.size() - 1;
+        }
+        assertThat((double) sent).as("calls in a second, after a report that all is left").isLessThanOrEqualTo(6 * LIMIT);
+    }
 }
