Where the store is full, no class makes all the room for another

What is worth least went first, by worth as such: a class worth half of the other was refused until none of it was left to refuse.

Change: least to gain as a share of its class's own worth. Which message goes first to an endpoint is unchanged. Sites whose classes are worth the same see no difference.

--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -1022,13 +1022,13 @@
         }
     }
 
-    /** Refuses what has least to gain before the store is full: nothing is turned away at the door. */
+    /** Refuses what has least to gain, of its class's worth, before the store is full: no class pays for another. */
     private void makeRoom() {
         final int reserve = (int) Math.max(1, STORE_RESERVE * settings.limits().maxOpen());
         while (open > settings.limits().maxOpen() - reserve) {
             final Job least = busy.values().stream().flatMap(destination -> destination.waiting.stream())
-                    .filter(Control::mayRefuse).min(Comparator.comparingDouble(job -> worth(job,
-                    Math.min(nowUs + job.destination.lineUs(), job.keyEndUs() - 1)))).orElse(null);
+                    .filter(Control::mayRefuse).min(Comparator.comparingDouble(job -> worth(job, Math.min(
+                    nowUs + job.destination.lineUs(), job.keyEndUs() - 1)) / job.kind.worth())).orElse(null);
             if (least == null) {
                 return;
             }
--- a/src/test/java/driftchute/CrowdedLimitTest.java
+++ b/src/test/java/driftchute/CrowdedLimitTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -58,4 +59,18 @@
         }
         assertThat((double) sent).as("calls in a second, after a report that all is left").isLessThanOrEqualTo(6 * LIMIT);
     }
+
+    /** The store is full of two classes, one worth twice the other: neither gives up all the room that has to be made. */
+    @Test
+    void theClassOfLeastWorthDoesNotMakeAllTheRoom() {
+        final Scene scene = new Scene(Scene.settings());
+        for (int i = 0; i < 60; i++) {
+            scene.take(i % 2 == 0 ? "two" + i : "one" + i, i % 2 == 0 ? 0 : 2);
+            scene.pass(20 * MS);
+        }
+        assertThat(scene.refused).hasSizeGreaterThan(15);
+        assertThat(scene.refused.stream().collect(Collectors.groupingBy(id -> id.substring(0, 3), Collectors.counting())))
+                .as("refused, by worth").allSatisfy((worth, count) -> assertThat(count)
+                        .isGreaterThanOrEqualTo(scene.refused.size() / 3)).hasSize(2);
+    }
 }
