--- a/src/test/java/driftchute/node/RepeatedIdTest.java
+++ b/src/test/java/driftchute/node/RepeatedIdTest.java
@@ -185,20 +185,45 @@
         onLoop(() -> null);
     }
 
+    /** A client that does not read, with as much unsent to it as the system takes: the next answer waits here. */
+    private SocketChannel narrow() throws Exception {
+        final SocketChannel client = SocketChannel.open();
+        client.setOption(StandardSocketOptions.SO_RCVBUF, 1024);
+        client.connect(new InetSocketAddress("127.0.0.1", port));
+        String unsent = "";
+        for (String now = queues(client)[0]; !now.equals(unsent) || unsent.equals("00000000"); now = queues(client)[0]) {
+            unsent = now;
+            write(client, UP.repeat(BATCH));
+        }
+        return client;
+    }
+
+    /** Its client ends its sending with the 202 still unsent, and reads then: it is told, and the message stays. */
+    @Test
+    void aMessageWhoseClientSendsNoMoreBeforeIts202IsSentIsNotWithdrawn() throws Exception {
+        start(50);
+        final List<FakeServer.Connection> held = new ArrayList<>();
+        rig.first.script((request, connection) -> held.add(connection));
+        try (SocketChannel client = narrow()) {
+            write(client, Rig.message("m1", "once"));
+            rig.await("the call", () -> held.size() == 1);
+            client.shutdownOutput();
+            final String said = new String(client.socket().getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(said.substring(said.lastIndexOf("HTTP/1.1")).startsWith("HTTP/1.1 202"), "its last answer");
+            assertTrue(holds("m1"));
+            held.get(0).answer(200, "");
+            rig.await("its end", () -> !holds("m1"));
+            assertEquals(1, calls("m1"));
+        }
+    }
+
     /** Its client goes with the 202 still unsent, so that it is withdrawn, while the call is out. */
     @Test
     void anIdThatWasWithdrawnWithItsCallOutIsNotTakenOnAgain() throws Exception {
         start(50);
         final List<FakeServer.Connection> held = new ArrayList<>();
         rig.first.script((request, connection) -> held.add(connection));
-        try (SocketChannel client = SocketChannel.open()) {
-            client.setOption(StandardSocketOptions.SO_RCVBUF, 1024);
-            client.connect(new InetSocketAddress("127.0.0.1", port));
-            String unsent = "";
-            for (String now = queues(client)[0]; !now.equals(unsent) || unsent.equals("00000000"); now = queues(client)[0]) {
-                unsent = now;
-                write(client, UP.repeat(BATCH));
-            }
+        try (SocketChannel client = narrow()) {
             write(client, Rig.message("m1", "once"));
             rig.await("the call", () -> held.size() == 1);
             assertTrue(holds("m1"));
