Nothing is written once the time of a call is up, though its connection has just come up

Cause: a turn of the loop reads its sockets before it runs what is due. A connection that came up in the turn in which the call's end was due had the call written over it and was closed at once; a message that may not be repeated failed as one that may have run.

Change: the call's end is looked at before its first byte. What is given up then never ran.

The other order, a connect time-out before its connection, is a guard that passes both ways.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -427,10 +427,12 @@
         }
 
         private void write(final Call next) {
-            if (!calls.contains(next) || !host.mayWrite(next)) {
+            // A turn reads its sockets first: the timer that ends the call may be due as well.
+            final boolean late = next.deadlineUs <= clock.nowUs();
+            if (late || !calls.contains(next) || !host.mayWrite(next)) {
                 // The connection has not served: nothing of it is kept.
                 context.close();
-                loop.execute(() -> abandon(next, Result.NOT_SENT));
+                loop.execute(() -> abandon(next, late ? Result.TIMED_OUT : Result.NOT_SENT));
                 return;
             }
             call = next;
--- a/src/test/java/driftchute/node/CallConnectionTest.java
+++ b/src/test/java/driftchute/node/CallConnectionTest.java
@@ -84,6 +84,49 @@
         assertEquals(1, rig.first.requests.size());
     }
 
+    /** First the end of the message's time, then its connection (both in one turn): nothing is written any more. */
+    @Test
+    void nothingIsWrittenOnceTheTimeIsUp() throws Exception {
+        courier.start();
+        courier.onLoop(() -> {
+            courier.offer("m1", "once", SHORT_US, new byte[] {1});
+            final long endUs = courier.clock.nowUs() + SHORT_US;
+            courier.then(() -> HostOnLoop.hold(() -> courier.clock.nowUs() >= endUs && !rig.first.connections.isEmpty()));
+            return null;
+        });
+        rig.await("its end", () -> !rig.notices.isEmpty());
+        assertTrue(rig.noticed("m1", "deferred"), "it has surely not run: " + rig.notices);
+        rig.await("the end of its connection", () -> rig.first.connections.get(0).ended);
+        assertEquals(0, rig.first.requests.size());
+    }
+
+    /** First the connect time-out, then the connection, in one turn: it ends unused, and the message goes once. */
+    @Test
+    void aConnectionThatComesUpAsItIsGivenUpEndsUnused() throws Exception {
+        // The system asks again after a second.
+        final long connectTimeoutUs = 800_000;
+        rig.connectTimeoutUs = connectTimeoutUs;
+        courier.start();
+        rig.first.ignore();
+        final AtomicLong calledUs = new AtomicLong();
+        courier.onLoop(() -> {
+            courier.offer("m1", "once");
+            courier.then(() -> calledUs.set(courier.clock.nowUs()));
+            return null;
+        });
+        rig.await("the connect", () -> HostOnLoop.connecting(rig.first) == 1);
+        final long dueUs = calledUs.get() + connectTimeoutUs;
+        courier.at(dueUs - 100_000, () -> HostOnLoop.hold(() -> courier.clock.nowUs() > dueUs));
+        courier.at(dueUs - 50_000, () -> HostOnLoop.hold(() -> !rig.first.connections.isEmpty()));
+        rig.first.listen();
+        final FakeServer.Connection used = courier.call(0).connection();
+        assertNotSame(rig.first.connections.get(0), used);
+        rig.await("its delivery", () -> courier.isOver("m1"));
+        rig.await("the end of the late one", () -> rig.first.connections.get(0).ended);
+        assertEquals(1, rig.first.requests.size());
+        assertEquals(List.of(), rig.notices);
+    }
+
     // ---------------------------------------------------------------- another address
 
     /** Tells that the first endpoint is now where the second one was, and waits until that has been read. */
