A wait holds back what connects to an endpoint that was listed again meanwhile

Cause: where routes are apart, the calls that a wait holds back were told by the pool of connections, and an endpoint that leaves the list and comes back has a new one. An answer to a call from before did not stop a call that connected since.

Change: by the endpoint's number, which it keeps.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -136,6 +136,11 @@
             this.apart = apart;
             this.address = address;
         }
+
+        /** True if a wait told there holds for the other one; what leaves the list and comes back is the same endpoint. */
+        private boolean binds(final Pool other) {
+            return apart ? endpoint == other.endpoint : destination == other.destination;
+        }
     }
 
     /**
@@ -383,7 +388,7 @@
     }
 
     private void holdBack(final Pool told) {
-        abandonUnwritten(call -> told.apart ? call.pool == told : call.pool.destination == told.destination);
+        abandonUnwritten(call -> told.binds(call.pool));
     }
 
     /** True while calls are out. */
--- a/src/test/java/driftchute/node/CallWaitTest.java
+++ b/src/test/java/driftchute/node/CallWaitTest.java
@@ -75,6 +75,23 @@
         assertEquals(List.of(), rig.notices);
     }
 
+    /** An endpoint whose routes are apart leaves the list and comes back while its call is out: it is the same one. */
+    @Test
+    void aWaitHoldsBackWhatConnectsToAnEndpointThatWasListedAgain() throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        courier.start(text -> alone(text).replace("\"routes_apart\":[false]", "\"routes_apart\":[true]"));
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        rig.first.ignore();
+        rig.change(43, Rig.host("e1", rig.first, "Gone"));
+        courier.tell(44, "back", Rig.host("e1", rig.first, "Ready"));
+        courier.offerSoon("m2", "once", HostOnLoop.LIFE_US);
+        rig.await("the other one's connect", () -> HostOnLoop.connecting(rig.first) == 1);
+        connection.write(REFUSAL);
+        rig.await("the refusal", () -> courier.isOnLoop(() -> !courier.held("m1").isOut()));
+        assertFalse(courier.isCalling(), "the other one's connect ends as the wait is told");
+    }
+
     private void assertThatTheOtherOneIsHeldBack() {
         rig.await("the refusal", () -> courier.isOnLoop(() -> !courier.held("m1").isOut()));
         assertTrue(courier.isOnLoop(() -> courier.held("m2").attempts() == 0),
