What other calls to a destination were answered is read before the next one is written

Cause: a call is written in the pass that decides it, or as its connection comes up, whichever the loop handles first. An answer that told a wait in that turn was read only in the next one: after a slow pass (120 to 176 ms were seen, docs/incidents/upgrade-waits.md) the call arrived more than the 100 ms after it that PROTOCOL allows.

Change: before its first byte, the connections of the calls that are out to that destination (that endpoint, where routes are apart) are read; a wait found there ends the call unwritten.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -395,6 +395,15 @@
         abandonUnwritten(call -> told.binds(call.pool));
     }
 
+    /**
+     * Reads what has come for the calls that are out there: decisions take time, in which an answer may have told a wait
+     * that holds for a call which is about to be written.
+     */
+    private void hear(final Pool pool) {
+        List.copyOf(calls).stream().filter(call -> call.written && calls.contains(call) && call.pool.binds(pool))
+                .forEach(call -> call.reader.readNow());
+    }
+
     /** True while calls are out. */
     boolean isCalling() {
         return !calls.isEmpty();
@@ -436,6 +445,7 @@
         }
 
         private void write(final Call next) {
+            hear(next.pool);
             // A turn reads its sockets first: the timer that ends the call may be due as well.
             final boolean late = next.deadlineUs <= clock.nowUs();
             if (late || !calls.contains(next) || !host.mayWrite(next)) {
--- a/src/test/java/driftchute/node/CallWaitTest.java
+++ b/src/test/java/driftchute/node/CallWaitTest.java
@@ -123,6 +123,55 @@
         }
     }
 
+    /** First an answer that tells a wait, then, later than the grace and before it is read, a call on a kept connection. */
+    @Test
+    void aWaitThatLiesUnreadHoldsBackACallOnAKeptConnection() throws Exception {
+        courier.start(CallWaitTest::alone);
+        courier.onLoop(() -> {
+            courier.offer("a", "safe");
+            courier.offer("b", "safe");
+            return null;
+        });
+        courier.call(1);
+        rig.first.requests.forEach(request -> request.connection().answer(200, ""));
+        rig.await("their delivery", () -> courier.isOver("a") && courier.isOver("b"));
+        courier.onLoop(() -> {
+            courier.holdForRest();
+            courier.offer("m1", "once");
+            return null;
+        });
+        final FakeServer.Connection connection = courier.call(2).connection();
+        courier.onLoop(() -> {
+            connection.write(REFUSAL);
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+            courier.holdFor(GRACE_US);
+            courier.offer("m2", "once");
+            return null;
+        });
+        assertThatTheOtherOneIsHeldBack();
+    }
+
+    /** The same for a call whose connection has come up in that turn; which of the two is handled first is the system's. */
+    @Test
+    void aWaitThatLiesUnreadHoldsBackACallOnANewConnection() throws Exception {
+        courier.start(CallWaitTest::alone);
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        courier.onLoop(() -> {
+            // Two calls to one endpoint are some ms apart.
+            courier.holdForRest();
+            courier.offer("m2", "once");
+            courier.then(() -> {
+                HostOnLoop.hold(() -> rig.first.connections.size() == 2);
+                connection.write(REFUSAL);
+                HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+                courier.holdFor(GRACE_US);
+            });
+            return null;
+        });
+        assertThatTheOtherOneIsHeldBack();
+    }
+
     private void assertThatTheOtherOneIsHeldBack() {
         rig.await("the refusal", () -> courier.isOnLoop(() -> !courier.held("m1").isOut()));
         assertTrue(courier.isOnLoop(() -> courier.held("m2").attempts() == 0),
