A call that cannot be recorded waits instead of using up its messages' attempts

Change: a call whose messages have never run waits for it as one waits for a descriptor: it asks again each 20 ms, up to the connect time-out, then counts as not sent. Its connection is kept meanwhile. A drain, a wait or the end of its time takes it back as before; what may have run is not held up, since the window of its key runs.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -73,7 +73,7 @@
     private static final long ANSWER_MS = 500;
     /** What belongs to no call may still come right behind an answer; a connection rests so long before its next. */
     private static final long REST_US = 5_000;
-    /** Before a call asks for a descriptor again. */
+    /** Before a call asks again for a descriptor, or whether it may be written. */
     private static final long ROOM_US = 20_000;
     /** A number as an answer may tell it: no sign, no exponent, no word. */
     private static final Pattern NUMBER = Pattern.compile("\\d{1,12}(\\.\\d{1,18})?");
@@ -182,6 +182,12 @@
             return parcels;
         }
 
+        /** True if nothing in it has ever been called, as far as is recorded: it loses nothing but time by waiting. */
+        private boolean isUntried() {
+            return parcels.stream().map(parcel -> parcel.open().held)
+                    .allMatch(held -> held.firstRunWallUs() == Held.NEVER && !held.isOut());
+        }
+
         private boolean isBulk() {
             return parcels.size() > 1;
         }
@@ -327,14 +333,19 @@
             if (!calls.contains(call)) {
                 connecting.channel().close();
             } else if (done.isSuccess()) {
-                connecting.channel().pipeline().get(Reader.class).write(call);
+                final Reader reader = connecting.channel().pipeline().get(Reader.class);
+                reader.idleSinceUs = clock.nowUs();
+                reader.write(call);
             } else {
                 abandon(call, Result.NO_CONNECTION);
             }
         });
     }
 
-    /** A call for which no descriptor is free comes again, for as long as a connection may take to come up. */
+    /**
+     * A call for which no descriptor is free, or that may not be written now, comes again, for as long as a connection may
+     * take to come up: not sent, each of its messages would lose one of its attempts.
+     */
     private void waitForRoom(final Call call) {
         if (clock.nowUs() + ROOM_US < call.sentUs + connectTimeoutUs) {
             later(call, ROOM_US, () -> dispatch(call));
@@ -449,6 +460,11 @@
             // A turn reads its sockets first: the timer that ends the call may be due as well.
             final boolean late = next.deadlineUs <= clock.nowUs();
             if (late || !calls.contains(next) || !host.mayWrite(next)) {
+                if (!late && calls.contains(next) && next.isUntried()) {
+                    next.pool.idle.addLast(this);
+                    waitForRoom(next);
+                    return;
+                }
                 // The connection has not served: nothing of it is kept.
                 context.close();
                 loop.execute(() -> abandon(next, late ? Result.TIMED_OUT : Result.NOT_SENT));
