A process that has handed over keeps no connection whose answer comes later

Cause: the hand-over closed the idle connections; one whose call was answered after that was kept until the process ended, and counted among the few that an endpoint holds while the next process opens its own.

Change: from the hand-over on no connection is kept.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -94,6 +94,7 @@
     private final Map<Long, Pool> pools = new HashMap<>();
     private final Set<Call> calls = new HashSet<>();
     private int connections;
+    private boolean keepsNone;
 
     /** How a message fared in a call. {@code waitUs}: what the answer told to wait, or 0. */
     record Answer(Result result, boolean over, long waitUs, Courier.Allowance allowance) { }
@@ -240,8 +241,9 @@
                 .filter(reader -> reader.idleSinceUs <= beforeUs).forEach(Reader::close));
     }
 
-    /** Nothing more is begun here. */
+    /** Nothing more is begun here: no connection is kept from now on. */
     void closeAllIdle() {
+        keepsNone = true;
         pools.values().forEach(pool -> List.copyOf(pool.idle).forEach(Reader::close));
     }
 
@@ -590,7 +592,7 @@
                 return;
             }
             final boolean listed = done.pool.address.equals(context.channel().remoteAddress());
-            if (keep && done.written && listed && !done.pool.closing) {
+            if (keep && done.written && listed && !done.pool.closing && !keepsNone) {
                 idleSinceUs = clock.nowUs();
                 done.pool.idle.addLast(this);
             } else {
--- a/src/test/java/driftchute/node/CallConnectionTest.java
+++ b/src/test/java/driftchute/node/CallConnectionTest.java
@@ -172,6 +172,23 @@
 
     // ---------------------------------------------------------------- another process
 
+    /** First the hand-over, then the answer: it counts, and the endpoint is rid of a connection that serves nothing. */
+    @Test
+    void aConnectionIsNotKeptByAProcessThatBeginsNothingMore() throws Exception {
+        rig.first.script((request, connection) -> { });
+        // Far longer than the test: it is not the sweep of idle connections that ends this one.
+        courier.start(text -> text.replace("\"idle_close\":10000000", "\"idle_close\":" + NEVER_US));
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        courier.onLoop(() -> {
+            courier.host.leave();
+            return null;
+        });
+        connection.answer(200, "");
+        rig.await("its delivery", () -> courier.isOver("m1"));
+        rig.await("the end of its connection", () -> connection.ended);
+    }
+
     // ---------------------------------------------------------------- before a call's last byte
 
     /** An endpoint that reads only when it is told to. */
