An answer to several that is read after the time of one of them delivers none

Cause: such a call is given up as the first of its messages is out of time, since what is answered later is not counted (docs/incidents/shared-calls.md). But a turn of the loop reads its sockets before it runs what is due: an answer that came between that end and its timer still delivered all.

Change: what such an answer says was accepted may have run, as when the timer comes first; the other states hold.

--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -631,7 +631,10 @@
             }
         }
 
-        /** Several messages' ends, each with its state; one that is not named may have run. */
+        /**
+         * Several messages' ends, each with its state; one that is not named may have run. So may what was accepted when
+         * the time of one of them was up: the call was to be given up by then, and is not counted as answered.
+         */
         private void tellEach(final Call done, final Answer all) {
             final Map<String, String> states = new HashMap<>();
             try {
@@ -643,9 +646,12 @@
                 // Spoilt: each of them may have run.
                 states.clear();
             }
+            final long nowUs = clock.nowUs();
+            final boolean late = done.parcels.stream().anyMatch(parcel -> parcel.open().validUntilUs <= nowUs);
             for (final Host.Parcel parcel : done.parcels) {
                 final Answer one = switch (states.getOrDefault(parcel.open().held.id, UNREADABLE)) {
-                    case "accepted" -> new Answer(Result.DELIVERED, true, all.waitUs(), all.allowance());
+                    case "accepted" -> new Answer(late ? Result.TIMED_OUT : Result.DELIVERED, !late, all.waitUs(),
+                            all.allowance());
                     case "deferred" -> new Answer(Result.REFUSED, false, all.waitUs(), all.allowance());
                     case "expired" -> new Answer(Result.NOT_SENT, true, all.waitUs(), all.allowance());
                     case "no_more" -> new Answer(Result.NOT_SENT, false, all.waitUs(), all.allowance());
