Tests of calls that wait for a rest, a descriptor or a connection, and what crosses them

No fault: a drain told to a call that waits for the rest of a kept connection or for a descriptor, the end of one message of a call that connects, and a client that goes as its message is delivered, in either order.

--- a/src/test/java/driftchute/node/CallNotSentTest.java
+++ b/src/test/java/driftchute/node/CallNotSentTest.java
@@ -72,4 +72,99 @@
         assertEquals(1, rig.first.requests.size());
     }
 
+    /** A call waits for the rest of a kept connection as a drain is told: it goes elsewhere. */
+    @Test
+    void aCallThatWaitsForARestAsADrainIsToldGoesElsewhere() throws Exception {
+        rig.first.script((request, connection) -> { });
+        courier.start(text -> text.replace("\"calls_out\":12", "\"calls_out\":1"));
+        courier.offerSoon("m0", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        courier.onLoop(() -> {
+            // It waits for the one slot, and so goes in the pass behind that answer.
+            courier.offer("m1", "once");
+            connection.answer(200, "");
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+            courier.at(courier.clock.nowUs(), () -> {
+                assertTrue(courier.host.endpoints().isCalling());
+                rig.change(43, Rig.host("e1", rig.first, "Terminating") + "," + Rig.host("e2", rig.second, "Ready"));
+                HostOnLoop.hold(() -> HostOnLoop.hasCome("the list", rig.platform, rig.watches.get(0)));
+                courier.holdForRest();
+            });
+            return null;
+        });
+        rig.await("its call", () -> calls() == 2);
+        assertEquals(1, rig.second.requests.size());
+        rig.await("its delivery", () -> courier.isOver("m1"));
+        assertEquals(List.of(), rig.notices);
+    }
+
+    /** A call waits for a descriptor; where a drain is told meanwhile, it goes elsewhere once there is one. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aCallThatWaitsForADescriptorAsADrainIsToldGoesElsewhere(final boolean drained) throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        // One connection to endpoints.
+        rig.sockets = 2;
+        rig.first.script((request, connection) -> { });
+        courier.start();
+        courier.offerSoon("m0", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        rig.change(43, Rig.host("e1", rig.first, drained ? "Terminating" : "Ready") + ","
+                + Rig.host("e2", rig.second, "Ready"));
+        rig.await("the list", () -> courier.host.hasListed("e2"));
+        assertEquals(1, calls());
+        rig.first.script((request, another) -> another.answer(200, ""));
+        connection.answer(200, "");
+        rig.await("its delivery", () -> courier.isOver("m1"));
+        assertEquals(drained ? 1 : 0, rig.second.requests.size());
+        assertEquals(2, calls());
+        assertEquals(List.of(), rig.notices);
+    }
+
+    /** The time of one message of a call is up while its connection comes up: only the others go, and in another call. */
+    @Test
+    void aMessageThatEndsWhileItsCallConnectsIsNotSent() throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        courier.start();
+        rig.first.ignore();
+        courier.onLoop(() -> {
+            courier.offer("m1", "once", SHORT_US, new byte[] {1});
+            courier.offer("m2", "once");
+            return null;
+        });
+        rig.await("their connect", () -> HostOnLoop.connecting(rig.first) == 1);
+        rig.await("the first one's end", () -> rig.noticed("m1", "deferred"));
+        rig.first.listen();
+        rig.await("the other one's delivery", () -> courier.isOver("m2"));
+        assertEquals(1, rig.first.requests.size());
+        assertEquals("m2", rig.first.requests.get(0).header("X-Request-ID"));
+        assertEquals(1, rig.notices.size());
+    }
+
+    /** A client goes as its message is delivered, in either order: nothing more is owed, and nothing is called twice. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aClientThatGoesAsItsMessageIsDelivered(final boolean first) throws Exception {
+        rig.first.script((request, connection) -> { });
+        courier.start();
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        courier.onLoop(() -> {
+            connection.answer(200, "");
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+            if (first) {
+                courier.host.withdraw("m1");
+            } else {
+                courier.at(courier.clock.nowUs(), () -> courier.host.withdraw("m1"));
+            }
+            return null;
+        });
+        rig.await("its end", () -> courier.isOver("m1") && !courier.isCalling());
+        rig.first.script((request, another) -> another.answer(200, ""));
+        courier.offerSoon("m2", "once", HostOnLoop.LIFE_US);
+        rig.await("the next one's delivery", () -> courier.isOver("m2"));
+        assertEquals(2, calls());
+        assertEquals(List.of(), rig.notices);
+    }
 }
