A ban holds for a call whose connection was still coming up when it was told

set-down answers OK once the order is in its file. A call decided before that was written over its connection up to 50 ms later, when the next look at the orders had not come yet, by the process that serves as much as by the one that takes its place.

The orders are looked at once more before the first byte of a call; one that is barred meanwhile goes back unwritten and waits. A call that is out is not cut off (guard of the other order).

--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -250,6 +250,8 @@
      * in which a wait may have come or a key's window have passed; and a process that dies before this has not tried.
      */
     boolean mayWrite(final Endpoints.Call call) {
+        // An order holds once it is in its file; the next pass may come later than this connection did.
+        heed();
         if (call.parcels().isEmpty() || !mayWrite(call.parcels().get(0).open().held.destination)) {
             return false;
         }
--- /dev/null
+++ b/src/test/java/driftchute/node/HandoverCrossingTest.java
@@ -0,0 +1,190 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ManualIoEventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Two events that cross as one process takes another's place, in either order: the next process on a loop that the test
+ * steps, the journal of the one before in the test's hands.
+ */
+@Timeout(120)
+final class HandoverCrossingTest {
+    private static final long DEST = 7;
+    private static final long DISK_BYTES = 3_000_000;
+    private static final long TIMEOUT_US = 20_000_000;
+    private static final int MOST_OPEN = 50;
+    private static final int FULL = 900;
+
+    @TempDir
+    private Path folder;
+    private Path state;
+    private final SteppedLoop loop = new SteppedLoop();
+    private final Clock clock = new Clock();
+    private final Map<String, String> answers = new HashMap<>();
+    private AgentOnLoop agent;
+    private AgentOnLoop endpoint;
+    private Rig rig;
+    private Config config;
+    private Orders orders;
+    private Journal old;
+    private Journal own;
+    private Host host;
+    private int marks;
+
+    @BeforeEach
+    void build() throws Exception {
+        state = folder.resolve("state");
+        agent = new AgentOnLoop(loop, (request, peer) -> {
+            if (request.startsWith("POST")) {
+                peer.write("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+            } else {
+                peer.head();
+                peer.chunk("\n");
+            }
+        });
+        // Calls stay out.
+        endpoint = new AgentOnLoop(loop, (request, peer) -> { });
+        rig = new Rig(folder);
+        rig.maxOpen = MOST_OPEN;
+        rig.hosts = Rig.host("e1", "127.0.0.1:" + endpoint.address().getPort(), "Ready");
+        config = Config.read(Map.of("PROXY_CONFIG",
+                rig.configure("127.0.0.1:" + agent.address().getPort()).toString(), "PROXY_STATE", state.toString()));
+        old = Journal.open(state, DISK_BYTES);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        loop.close();
+        old.close();
+        rig.close();
+    }
+
+    private Held held(final String id) {
+        return new Held(id, "safe", null, DEST, clock.wallUs() + TIMEOUT_US, new byte[] {1});
+    }
+
+    /** The next process begins; its list is confirmed. */
+    private void standBy() {
+        own = new Journal(config.state(), config.diskBytes());
+        orders = new Orders(config.state());
+        host = new Host(config, loop.mine(), clock, own, orders);
+        host.start();
+        loop.pass(50);
+    }
+
+    private void takeOver() throws IOException {
+        standBy();
+        host.takeUp();
+        loop.pass(50);
+    }
+
+    private Host.Reply reply(final String id) {
+        return new Host.Reply() {
+            @Override
+            public void accepted() {
+                answers.put(id, "accepted");
+            }
+
+            @Override
+            public void refused(final int status, final long retryAfterUs) {
+                answers.put(id, "refused " + status);
+            }
+
+            @Override
+            public void failed() {
+                answers.put(id, "failed");
+            }
+        };
+    }
+
+    private void handIn(final String id) {
+        host.offer(held(id), clock.nowUs() + TIMEOUT_US, reply(id));
+    }
+
+    /** The decisions look at the machine's clock, so that some steps take their time. */
+    private void await(final String what, final BooleanSupplier condition) {
+        rig.await(what, () -> {
+            loop.pass(10);
+            return condition.getAsBoolean();
+        });
+    }
+
+    /** The next process has read on in the old one's journal: what is recorded last there has been taken up. */
+    private void awaitReading() {
+        final String mark = "mark" + marks++;
+        assertTrue(old.take(held(mark)));
+        await("the reading of " + mark, () -> own.holds(mark));
+        loop.settle();
+    }
+
+    // ---------------------------------------------------------------- orders
+
+    /** The order is in force, and its OK given, while the call's connection comes up. */
+    @Test
+    void aBanThatIsToldWhileAConnectionComesUpHoldsForItsCall() throws Exception {
+        takeOver();
+        host.offer(held("m"), clock.nowUs() + TIMEOUT_US, new Host.Reply() {
+            @Override
+            public void accepted() {
+                // Right behind the pass that begins the call, before the loop looks at its sockets again.
+                loop.mine().execute(HandoverCrossingTest.this::setDown);
+            }
+
+            @Override
+            public void refused(final int status, final long retryAfterUs) {
+                answers.put("m", "refused " + status);
+            }
+
+            @Override
+            public void failed() {
+                answers.put("m", "failed");
+            }
+        });
+        loop.pass(200);
+        assertTrue(orders.standing().out().contains("e1"), "told");
+        assertEquals(0, endpoint.requests.size(), "begun after the OK");
+        orders.change(standing -> standing.without("e1"));
+        await("it goes when the ban is over", () -> endpoint.requests.size() == 1);
+    }
+
+    private void setDown() {
+        try {
+            orders.change(standing -> standing.with("e1"));
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The other order: what is out already is not cut off. */
+    @Test
+    void aBanThatIsToldWhenACallIsOutLeavesItToItsEnd() throws Exception {
+        takeOver();
+        handIn("m");
+        await("its call", () -> endpoint.requests.size() == 1);
+        setDown();
+        loop.pass(200);
+        assertTrue(host.endpoints().isCalling(), "still out");
+        endpoint.peers.get(0).write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        await("its delivery", host::idle);
+        assertEquals(1, endpoint.requests.size());
+    }
+}
