What a kill in its compaction left goes with a predecessor's file

It is removed just before the file itself, so that a kill between the two leaves nothing that nobody looks for. The files of a predecessor that lives stay (guard).

--- a/src/main/java/driftchute/node/Predecessor.java
+++ b/src/main/java/driftchute/node/Predecessor.java
@@ -15,6 +15,8 @@
  * process is gone.
  */
 final class Predecessor {
+    /** Ends the name of the file that a compaction writes ({@link Journal}). */
+    private static final String NEXT = ".next";
     private final Path path;
     private final Lock lock;
     private final FileChannel file;
@@ -68,6 +70,8 @@
     /** Nothing in it is owed any more. */
     void remove() throws IOException {
         file.close();
+        // What a kill in its compaction left; first, since nobody would look for it without the file itself.
+        Files.deleteIfExists(path.resolveSibling(path.getFileName() + NEXT));
         Files.deleteIfExists(path);
         lock.close();
     }
--- a/src/test/java/driftchute/node/HandoverCrossingTest.java
+++ b/src/test/java/driftchute/node/HandoverCrossingTest.java
@@ -187,4 +187,32 @@
         await("its delivery", host::idle);
         assertEquals(1, endpoint.requests.size());
     }
+
+    // ---------------------------------------------------------------- files of earlier processes
+
+    /** A kill in the compaction of a process that was not the first leaves the file that it wrote. */
+    @Test
+    void whatAKillInItsCompactionLeftGoesWithAPredecessorsFile() throws Exception {
+        final Path left = state.resolve("journal.1.next");
+        try (Journal second = Journal.open(state, DISK_BYTES)) {
+            assertTrue(second.take(held("m")));
+        }
+        Files.write(left, new byte[] {1, 2, 3});
+        old.close();
+        takeOver();
+        assertTrue(own.holds("m"), "taken up");
+        assertFalse(Files.exists(state.resolve("journal.1")), "its file is of no use any more");
+        assertFalse(Files.exists(left), "nor is what its compaction had written");
+        old = Journal.open(folder.resolve("other"), DISK_BYTES);
+    }
+
+    /** The other order: as long as it lives, its files are its own. */
+    @Test
+    void theFilesOfAPredecessorThatLivesStay() throws Exception {
+        final Path next = state.resolve("journal.next");
+        Files.write(next, new byte[] {1, 2, 3});
+        takeOver();
+        awaitReading();
+        assertTrue(Files.exists(next) && Files.exists(state.resolve("journal")));
+    }
 }
