What the next process took on itself outlives a withdrawal at the one before

The old process withdraws a message whose connection breaks before its 202. Its client may come to the next process under the same id. That one took the old one's record of the end for its own message's, also at each later reading of that file, and dropped what it had promised, with no call and no notice: a lost message.

What ends in a predecessor's file ends here only what was taken up from there. Both orders: taken on before the record is read, and after.

HandoverCrossingTest: failed 2 of 2 without, passes with.

--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -62,6 +62,8 @@
     /** A message that is owed its end. */
     static final class Open {
         final Held held;
+        /** An earlier process took it on; the promise to its client is that one's. */
+        private final boolean resumed;
         final Courier.MessageClass kind;
         final long validUntilUs;
         /** Where its first answer goes; null once that is given. */
@@ -71,6 +73,7 @@
 
         Open(final Held held, final Courier.MessageClass kind, final long validUntilUs, final Reply reply) {
             this.held = held;
+            this.resumed = reply == null;
             this.kind = kind;
             this.validUntilUs = validUntilUs;
             this.reply = reply;
@@ -194,7 +197,7 @@
             return;
         }
         final Journal.News news = journal.poll();
-        news.over().forEach(this::withdraw);
+        news.over().forEach(this::overElsewhere);
         remember(news.memories());
         hear();
         news.mine().forEach(this::resume);
@@ -209,6 +212,17 @@
         }
     }
 
+    /**
+     * The earlier process owes nothing for that message any more, and so nor does this one. But what this one took on by
+     * itself under the same id, from a client that came again, it has promised and still owes.
+     */
+    private void overElsewhere(final String id) {
+        final Open open = messages.get(id);
+        if (open == null || open.resumed) {
+            withdraw(id);
+        }
+    }
+
     private void remember(final List<Courier.Memory> memories) {
         final long aheadUs = clock.nowUs() - clock.wallUs();
         memories.forEach(memory -> remember(memory.onClock(aheadUs)));
--- a/src/test/java/driftchute/node/HandoverCrossingTest.java
+++ b/src/test/java/driftchute/node/HandoverCrossingTest.java
@@ -215,4 +215,36 @@
         awaitReading();
         assertTrue(Files.exists(next) && Files.exists(state.resolve("journal")));
     }
+
+    // ---------------------------------------------------------------- a client that comes again under the same id
+
+    /** The connection broke before the old one's answer, which withdrew the message; its client came to the next one. */
+    @Test
+    void whatTheNextTookOnItselfOutlivesAnEarlierWithdrawalAtTheOld() throws Exception {
+        takeOver();
+        assertTrue(old.take(held("x")));
+        awaitReading();
+        assertTrue(own.holds("x"));
+        old.over("x");
+        awaitReading();
+        assertFalse(own.holds("x"), "nobody was promised anything");
+        handIn("x");
+        loop.pass(50);
+        assertEquals("accepted", answers.get("x"));
+        awaitReading();
+        assertTrue(own.holds("x"), "taken on, and promised");
+    }
+
+    /** The other order: the next one has it before it reads of the old one's. */
+    @Test
+    void whatTheNextTookOnItselfOutlivesALaterWithdrawalAtTheOld() throws Exception {
+        takeOver();
+        handIn("x");
+        loop.pass(50);
+        assertEquals("accepted", answers.get("x"));
+        assertTrue(old.take(held("x")));
+        old.over("x");
+        awaitReading();
+        assertTrue(own.holds("x"), "taken on, and promised");
+    }
 }
