A full store is taken up in parts, and clients are answered in between

Now 32 messages a turn, each with its pass, and the sockets are looked at between two turns. Nothing is sent earlier than before: an unconfirmed list holds back each pass.

Leaving in between and an end in between are guarded by two more tests.

--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -44,6 +44,11 @@
     private static final long REPORT_MS = 100;
     /** Share of a key's window after which no repeat is written: the rest is for its way. */
     private static final double KEY_SHARE = 0.95;
+    /**
+     * Messages that are taken up in one turn of the loop, with one pass of the decisions: all at once would keep clients
+     * waiting for as long as the first pass over a full store takes, on code that has not run yet.
+     */
+    private static final int TAKEN_UP_AT_ONCE = 32;
     /** Share of the store that makes a pile. */
     private static final double PILE_SHARE = 0.1;
 
@@ -96,6 +101,8 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<Long, List<Parcel>> outbox = new LinkedHashMap<>();
     private final List<Open> unanswered = new ArrayList<>();
+    /** What earlier processes took on and the decisions have not been told of yet, by id, in the order taken. */
+    private final Map<String, Held> untold = new LinkedHashMap<>();
     private boolean passDue;
     /** Another process decides and sends now; this one ends the calls that are out. */
     private boolean leaving;
@@ -104,7 +111,7 @@
     private FleetLink fleet;
     private final AtomicBoolean viewDue = new AtomicBoolean();
     /** What earlier processes learnt of destinations that the list does not name yet. */
-    private final Map<Long, Courier.Memory> untold = new HashMap<>();
+    private final Map<Long, Courier.Memory> unlisted = new HashMap<>();
     /** The end of the latest wait of each destination that was taken over from them. */
     private final Map<Long, Long> waitsTakenUs = new HashMap<>();
     /** Until when the earlier process counts as heard. */
@@ -147,9 +154,11 @@
         news.over().forEach(journal::over);
         remember(news.memories());
         hear();
-        journal.live().forEach(this::resume);
-        if (!messages.isEmpty()) {
-            Log.event("resumed", "msg", "resumed " + messages.size() + " messages", "messages", messages.size());
+        journal.live().forEach(held -> untold.put(held.id, held));
+        final long resumed = untold.values().stream()
+                .filter(held -> held.notice() == null && classes.containsKey(held.className)).count();
+        if (resumed > 0) {
+            Log.event("resumed", "msg", "resumed " + resumed + " messages", "messages", resumed);
         }
         if (journal.hasPredecessors()) {
             Log.info("an earlier process still ends its calls");
@@ -157,7 +166,27 @@
                     TimeUnit.MILLISECONDS);
         }
         join();
+        takeUpSome();
+    }
+
+    /** Tells the decisions of the next messages; the loop looks at its sockets between two turns of this. */
+    private void takeUpSome() {
+        final List<Held> next = untold.values().stream().limit(TAKEN_UP_AT_ONCE).toList();
+        next.forEach(held -> {
+            untold.remove(held.id);
+            resume(held);
+        });
         touch();
+        if (!untold.isEmpty()) {
+            loop.schedule(this::takeUpSome, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Takes up one more, or what has become meanwhile of one that waits for its turn. */
+    private void takeUp(final Held held) {
+        if (untold.replace(held.id, held) == null) {
+            resume(held);
+        }
     }
 
     /** From now on this courier shares what it knows, where it may: only the process that serves does. */
@@ -200,7 +229,7 @@
         news.over().forEach(this::overElsewhere);
         remember(news.memories());
         hear();
-        news.mine().forEach(this::resume);
+        news.mine().forEach(this::takeUp);
         if (!news.mine().isEmpty() || !news.memories().isEmpty()) {
             touch();
         }
@@ -231,7 +260,7 @@
     private void remember(final Courier.Memory memory) {
         final long destination = memory.destination();
         if (!discovery.hasEndpoint(destination)) {
-            untold.put(destination, memory);
+            unlisted.put(destination, memory);
         }
         control.onMemory(clock.nowUs(), memory);
         final long leftUs = memory.waitUntilUs() - clock.nowUs();
@@ -373,7 +402,7 @@
 
     /** Takes a message, if there is room; its reply comes at the end of the pass. */
     void offer(final Held held, final long validUntilUs, final Reply reply) {
-        final int open = leaving ? journal.count() : messages.size();
+        final int open = leaving ? journal.count() : messages.size() + untold.size();
         if (open >= config.settings().limits().maxOpen() || !journal.take(held)) {
             reply.refused(Intake.UNAVAILABLE, FULL_RETRY_US);
             return;
@@ -402,7 +431,7 @@
             forget(open);
             control.onExpired(clock.nowUs(), id);
             touch();
-        } else if (leaving) {
+        } else if (untold.remove(id) != null || leaving) {
             journal.over(id);
         }
     }
@@ -410,7 +439,7 @@
     /** The list has changed, or could not be had. */
     void list(final Courier.Update update, final List<Courier.Endpoint> entries) {
         control.onList(clock.nowUs(), update, entries);
-        untold.values().removeIf(memory -> {
+        unlisted.values().removeIf(memory -> {
             final boolean named = discovery.hasEndpoint(memory.destination());
             if (named) {
                 control.onMemory(clock.nowUs(), memory.withCallsOut(journal.callsOutElsewhere(memory.destination())));
@@ -638,6 +667,8 @@
         // Written later, it would meet waits that the next process is told of and this one is not.
         endpoints.giveBackUnwritten();
         messages.values().removeIf(open -> open.call == null);
+        untold.values().forEach(held -> settle(held, false));
+        untold.clear();
         journal.leave(memories());
         journal.heard(readWallUs);
         readWallUs = clock.wallUs();
@@ -676,6 +707,6 @@
 
     /** True when nothing is under way that the end of the process would cut off. */
     boolean idle() {
-        return messages.isEmpty() && notices.isEmpty();
+        return messages.isEmpty() && untold.isEmpty() && notices.isEmpty();
     }
 }
--- a/src/test/java/driftchute/node/HandoverCrossingTest.java
+++ b/src/test/java/driftchute/node/HandoverCrossingTest.java
@@ -247,4 +247,78 @@
         awaitReading();
         assertTrue(own.holds("x"), "taken on, and promised");
     }
+
+    // ---------------------------------------------------------------- taking up a full store
+
+    private void fill() {
+        for (int number = 0; number < FULL; number++) {
+            assertTrue(old.take(held("f" + number)));
+        }
+    }
+
+    /** What the decisions have been told of: beyond the bound of the store they refuse at once. */
+    private long refused() {
+        return FULL - own.live().stream().filter(held -> held.notice() == null).count();
+    }
+
+    private void turn() {
+        ((ManualIoEventLoop) loop.mine()).runNow();
+    }
+
+    @Test
+    void aClientIsAnsweredBeforeAFullStoreIsTakenUpWhole() throws Exception {
+        fill();
+        standBy();
+        final Intake intake = new Intake(config, clock, host, orders);
+        host.takeUp();
+        final ChannelFuture bound = intake.listen(loop.mine(), loop.mine());
+        int turns = 0;
+        while (!bound.isDone() && turns++ < FULL) {
+            turn();
+        }
+        final int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+        try (Socket client = new Socket("127.0.0.1", port)) {
+            client.getOutputStream().write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            while (client.getInputStream().available() == 0 && turns++ < FULL) {
+                turn();
+            }
+            final long told = refused();
+            assertEquals(200, Rig.read(client.getInputStream()).status());
+            assertTrue(told < FULL / 2, "answered when " + told + " of " + FULL + " were decided on");
+        }
+        await("all of them in the end", () -> refused() >= FULL - MOST_OPEN);
+    }
+
+    /** The place is left between two steps: what was not taken up yet is owed all the same, and free to go. */
+    @Test
+    void whatIsNotTakenUpYetAsTheNextProcessLeavesIsTheOneAfters() throws Exception {
+        fill();
+        standBy();
+        host.takeUp();
+        assertFalse(host.idle());
+        assertTrue(host.holds("f" + (FULL - 1)), "a repeat of it is none that is new");
+        host.leave();
+        loop.pass(100);
+        try (FileChannel file = FileChannel.open(state.resolve("journal.1"))) {
+            final JournalReader reader = new JournalReader(file);
+            reader.read();
+            assertEquals(FULL, reader.live().size());
+            assertTrue(reader.live().values().stream().noneMatch(Held::isOut));
+        }
+        assertEquals(0, endpoint.requests.size());
+    }
+
+    /** The old one withdraws it between two steps. */
+    @Test
+    void whatTheOldWithdrawsBeforeItIsTakenUpIsOver() throws Exception {
+        fill();
+        standBy();
+        host.takeUp();
+        final String last = "f" + (FULL - 1);
+        old.over(last);
+        await("the end of the taking up", () -> refused() >= FULL - MOST_OPEN);
+        assertFalse(own.holds(last));
+        assertTrue(agent.requests.stream().noneMatch(request -> request.contains('"' + last + '"')),
+                "its client counts on nothing");
+    }
 }
