--- /dev/null
+++ b/src/test/java/driftchute/node/HandoverKillTest.java
@@ -0,0 +1,219 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One of the two processes of an upgrade is stopped or killed between two steps of it: nothing is lost, or sent twice. */
+@Timeout(120)
+final class HandoverKillTest {
+    /** The window of the class {@code brief}. */
+    private static final long BRIEF_MS = 300;
+
+    @TempDir
+    private Path folder;
+    private final List<FakeServer.Request> held = new CopyOnWriteArrayList<>();
+    private Rig rig;
+    private Process old;
+    private Process next;
+    private Socket kept;
+
+    /** Two calls are out at the old process and a client rests there; the next one stands by. */
+    @BeforeEach
+    void upgradeWithCallsOut() throws Exception {
+        rig = new Rig(folder);
+        rig.first.script((request, connection) -> held.add(request));
+        rig.start();
+        assertEquals(202, rig.handIn("safe", "safe").status());
+        rig.await("its call", () -> calls("safe") >= 1);
+        assertEquals(202, rig.handIn("once", "once").status());
+        rig.await("its call", () -> calls("once") == 1);
+        old = rig.startBeside();
+        next = rig.newest();
+        kept = rig.connect();
+        assertEquals(200, Rig.send(kept, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n").status());
+    }
+
+    /**
+     * Hands a message in on the connection that rests at the old process; true if it is taken on. One that ends may close
+     * such a connection, where the machine is slow: then the message is nobody's.
+     */
+    private boolean isTakenOn(final String id) {
+        try {
+            return Rig.send(kept, Rig.message(id, "once")).status() == 202;
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
+    /** It is sent once if it was taken on, and never if it was not. */
+    private void assertSent(final String id, final boolean taken) throws IOException {
+        assertEquals(202, rig.handIn("after", "safe").status());
+        rig.await("what is taken on later", () -> calls("after") == 1);
+        rig.await("its call", () -> !taken || calls(id) == 1);
+        assertEquals(taken ? 1 : 0, calls(id));
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        kept.close();
+        rig.close();
+    }
+
+    private long calls(final String id) {
+        return rig.first.requests.stream().filter(request -> id.equals(request.header("X-Request-ID"))
+                || request.text().contains('"' + id + '"')).count();
+    }
+
+    private void signal(final Process process, final String signal) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor());
+        if (signal.equals("STOP")) {
+            rig.await("its stop", () -> isStopped(process));
+        }
+    }
+
+    private static boolean isStopped(final Process process) {
+        try {
+            return Files.readString(Path.of("/proc", Long.toString(process.pid()), "stat")).matches("(?s).*\\) T .*");
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
+    private void kill(final Process process) throws InterruptedException {
+        process.destroyForcibly();
+        assertTrue(process.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    private long ready() {
+        return rig.log.stream().filter(line -> line.contains("is ready at")).count();
+    }
+
+    private void answerAll() {
+        rig.first.script((request, connection) -> connection.answer(200, ""));
+    }
+
+    /** The old one has let go and the next one has not begun; what is handed in meanwhile is the next one's. */
+    @Test
+    void theOldIsKilledBetweenItsLettingGoAndTheNextOnesBeginning() throws Exception {
+        signal(next, "STOP");
+        Rig.terminate(old);
+        rig.await("the letting go", () -> rig.hasLogged("another process takes over"));
+        final boolean taken = isTakenOn("late");
+        kill(old);
+        final long safe = calls("safe");
+        answerAll();
+        signal(next, "CONT");
+        rig.await("the next", () -> ready() == 2);
+        rig.await("what may be repeated", () -> calls("safe") > safe);
+        rig.await("the end of what may not", () -> rig.noticed("once", "undeliverable"));
+        assertEquals(1, calls("once"));
+        assertSent("late", taken);
+    }
+
+    /** The other one is killed there: the old one takes on what still comes, and a later start sends it. */
+    @Test
+    void theNextIsKilledBetweenTheOldOnesLettingGoAndItsBeginning() throws Exception {
+        signal(next, "STOP");
+        Rig.terminate(old);
+        rig.await("the letting go", () -> rig.hasLogged("another process takes over"));
+        kill(next);
+        final boolean taken = isTakenOn("late");
+        assertTrue(old.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(0, calls("late"), "by one that has let go");
+        final long safe = calls("safe");
+        answerAll();
+        rig.start();
+        rig.await("what may be repeated", () -> calls("safe") > safe);
+        rig.await("the end of what may not", () -> rig.noticed("once", "undeliverable"));
+        assertEquals(1, calls("once"));
+        assertSent("late", taken);
+    }
+
+    /** The next one is killed when it serves and the old one still ends its calls: each call stays the old one's. */
+    @Test
+    void theNextIsKilledAsItServesAndTheOldOneEndsItsCalls() throws Exception {
+        Rig.terminate(old);
+        rig.await("the next listens", () -> rig.hasLogged("the next process listens"));
+        kill(next);
+        held.forEach(request -> request.connection().answer(200, ""));
+        assertTrue(old.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+        answerAll();
+        rig.start();
+        assertEquals(202, rig.handIn("after", "safe").status());
+        rig.await("its call", () -> calls("after") == 1);
+        assertEquals(1, calls("once"), "the old one's");
+    }
+
+    /** Stopped while the next one serves, and continued: it records what it is told, and sends nothing itself. */
+    @Test
+    void theOldIsStoppedWhileTheNextServesAndGoesOnToRecordOnly() throws Exception {
+        Rig.terminate(old);
+        rig.await("the next listens", () -> rig.hasLogged("the next process listens"));
+        rig.await("the old one's listener", () -> rig.hasLogged("listener_closed"));
+        signal(old, "STOP");
+        write("late");
+        final Rig.Answer other = rig.handIn("new", "safe");
+        assertEquals(202, other.status());
+        held.forEach(request -> request.connection().answer(200, ""));
+        answerAll();
+        signal(old, "CONT");
+        final boolean taken = isAnswered();
+        rig.await("the new one's", () -> calls("new") == 1);
+        assertTrue(old.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+        rig.await("its end to be seen", () -> rig.hasLogged("the earlier process is gone"));
+        assertEquals(1, calls("once"));
+        assertSent("late", taken);
+    }
+
+    private void write(final String id) {
+        try {
+            kept.getOutputStream().write(Rig.message(id, "once").getBytes(StandardCharsets.ISO_8859_1));
+        } catch (final IOException e) {
+            assertTrue(kept.isConnected());
+        }
+    }
+
+    private boolean isAnswered() {
+        try {
+            return Rig.read(kept.getInputStream()).status() == 202;
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
+    /** The window of one has passed when the next process begins, that of the other has not. */
+    @Test
+    void onlyWhatEndpointsStillKnowIsSentAgainByTheNext() throws Exception {
+        // A window of two calls, at first.
+        held.forEach(request -> request.connection().answer(200, ""));
+        assertEquals(202, rig.handIn("brief", "brief").status());
+        rig.await("its call", () -> calls("brief") >= 1);
+        final long calledNs = System.nanoTime();
+        assertEquals(202, rig.handIn("keyed", "keyed").status());
+        rig.await("its call", () -> calls("keyed") >= 1);
+        signal(next, "STOP");
+        kill(old);
+        final long before = calls("brief");
+        final long keyed = calls("keyed");
+        rig.await("the end of the window", () -> System.nanoTime() - calledNs > TimeUnit.MILLISECONDS.toNanos(BRIEF_MS));
+        answerAll();
+        signal(next, "CONT");
+        rig.await("the repeat", () -> calls("keyed") > keyed);
+        rig.await("an end by notice", () -> rig.noticed("brief", ""));
+        assertEquals(before, calls("brief"), "sent after its window");
+    }
+}
