The next process knows no less of the list than the one before it

A change that only the old process had been told was unknown to the next one where discovery was silent to it: 2.5 s later it sent by the list in its configuration, to an endpoint that drains. The same after a kill and a start.

The process that serves keeps the list as it was last told it, with its version and the address it came from, in the small file `list` of the state folder, written in one step before the change is logged or acted on. A start begins with it if it is newer than the configuration's and from the same address; a process that takes the place takes it up if it is newer than what it was told itself. What held back an unconfirmed list still does.

ListHandoverTest, two processes and an agent that is silent to the second: told before the next one stands by, told after, the old one killed, killed and started: failed 4 of 4 without (one call to what drains each), pass with. What the next one was told itself is not undone (guard).

--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -135,6 +135,7 @@
                     && config.settings().kinds().get(endpoint.kind()).routesApart();
             host.endpoints().listed(endpoint, apart, entry.dial());
         }
+        host.told(list, update, from);
         Log.event("list", "update", update.name().toLowerCase(Locale.ROOT), "seq", list.path("seq").asLong(), "after",
                 watches.version(), "entries", entries.size(), "unready", unready(list), "from", String.valueOf(from));
         host.list(update, entries.stream().map(Entry::endpoint).toList());
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -1,10 +1,12 @@
 package driftchute.node;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import driftchute.Control;
 import driftchute.Courier;
 import driftchute.node.fleet.FleetLink;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -96,6 +98,7 @@
     private final Control control;
     private final Endpoints endpoints;
     private final Discovery discovery;
+    private final KnownList knownList;
     private final Notices notices;
     private final Map<String, Open> messages = new LinkedHashMap<>();
     private final Map<String, Integer> classes = new HashMap<>();
@@ -104,6 +107,9 @@
     /** What earlier processes took on and the decisions have not been told of yet, by id, in the order taken. */
     private final Map<String, Held> untold = new LinkedHashMap<>();
     private boolean passDue;
+    private InetSocketAddress discoveryAt;
+    /** Discovery has told of its list, or cannot be asked: what is known of it is gone by. */
+    private boolean confirmed;
     /** Another process decides and sends now; this one ends the calls that are out. */
     private boolean leaving;
     private ScheduledFuture<?> following;
@@ -135,13 +141,15 @@
         this.control = new Control(config.settings(), config.seed(), this);
         this.endpoints = new Endpoints(config, loop, clock, this);
         this.discovery = new Discovery(config, loop, clock, this);
+        this.discoveryAt = config.discovery();
+        this.knownList = new KnownList(config.state(), config.diskBytes());
         this.notices = new Notices(config.discovery(), loop, this);
         config.settings().classes().forEach(kind -> classes.put(kind.name(), classes.size()));
     }
 
     /** Begins to follow the list: nothing else is done before this process takes the place of the one before. */
     void start() {
-        discovery.restore(config.known());
+        discovery.restore(knownList.newest(config.known(), discoveryAt));
         loop.scheduleWithFixedDelay(this::lookUp, HEED_MS, HEED_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::tell, STATUS_MS, STATUS_MS, TimeUnit.MILLISECONDS);
         touch();
@@ -149,6 +157,8 @@
 
     /** From now on this process decides, records and sends; first it takes up what earlier ones held. */
     void takeUp() throws IOException {
+        catchUp();
+        knownList.keep();
         journal.open();
         final Journal.News news = journal.poll();
         news.over().forEach(journal::over);
@@ -169,6 +179,18 @@
         takeUpSome();
     }
 
+    /** The process before this one may have been told more of the list, and discovery may be silent now. */
+    private void catchUp() {
+        final JsonNode list = knownList.newer(discoveryAt);
+        if (list != null) {
+            final boolean goesBy = confirmed;
+            discovery.restore(list);
+            if (goesBy) {
+                discovery.unchanged();
+            }
+        }
+    }
+
     /** Tells the decisions of the next messages; the loop looks at its sockets between two turns of this. */
     private void takeUpSome() {
         final List<Held> next = untold.values().stream().limit(TAKEN_UP_AT_ONCE).toList();
@@ -436,8 +458,14 @@
         }
     }
 
+    /** A list has come that can be read, from that address; the next process may not know less of it. */
+    void told(final JsonNode list, final Courier.Update update, final InetSocketAddress from) {
+        knownList.told(list, update, from);
+    }
+
     /** The list has changed, or could not be had. */
     void list(final Courier.Update update, final List<Courier.Endpoint> entries) {
+        confirmed = update != Courier.Update.RESTORED;
         control.onList(clock.nowUs(), update, entries);
         unlisted.values().removeIf(memory -> {
             final boolean named = discovery.hasEndpoint(memory.destination());
@@ -643,6 +671,7 @@
         final boolean same = fresh.settings().equals(config.settings()) && fresh.listen().equals(config.listen());
         Log.info("SIGHUP: discovery is at " + fresh.discovery()
                 + (same ? "" : "; what else is new in the configuration counts from the next start"));
+        discoveryAt = fresh.discovery();
         discovery.move(fresh.discovery());
         notices.move(fresh.discovery());
     }
@@ -662,6 +691,7 @@
      */
     void leave() {
         leaving = true;
+        knownList.leave();
         part(false);
         pass();
         // Written later, it would meet waits that the next process is told of and this one is not.
--- /dev/null
+++ b/src/test/java/driftchute/node/ListHandoverTest.java
@@ -0,0 +1,131 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A change of the list that only the process before was told: discovery says nothing to the next one. The two are one
+ * courier, so what the one knows the other may not fall behind.
+ */
+@Timeout(120)
+final class ListHandoverTest {
+    @TempDir
+    private Path folder;
+    private final ScheduledExecutorService speaking = Executors.newSingleThreadScheduledExecutor();
+    private Rig rig;
+
+    /** The old process knows version 42, and its watch goes on to speak; no further question is answered. */
+    @BeforeEach
+    void startAndGoSilentToOthers() throws IOException {
+        rig = new Rig(folder);
+        rig.start();
+        rig.await("the watch", () -> !rig.watches.isEmpty());
+        rig.change(42, Rig.host("e1", rig.first, "Ready"));
+        rig.await("the change", () -> rig.hasLogged("\"seq\":42"));
+        rig.platform.script((request, connection) -> {
+            if (request.line().startsWith("POST")) {
+                rig.notices.addAll(request.text().lines().toList());
+                connection.answer(204, "");
+            }
+        });
+        speaking.scheduleAtFixedRate(() -> rig.watches.forEach(watch -> speak(watch, "\n")), 0, 200, TimeUnit.MILLISECONDS);
+    }
+
+    private static void speak(final FakeServer.Connection watch, final String text) {
+        synchronized (watch) {
+            watch.chunk(text);
+        }
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        speaking.shutdownNow();
+        rig.close();
+    }
+
+    /** What the old process calls drains, and another endpoint takes its place. */
+    private void change() {
+        final int from = rig.log.size();
+        final String entries = Rig.host("e1", rig.first, "Terminating") + "," + Rig.host("e2", rig.second, "Ready");
+        rig.watches.forEach(watch -> speak(watch, "{\"seq\":43,\"whole\":false,\"hosts\":[" + entries + "]}\n"));
+        rig.await("the change", () -> rig.log.stream().skip(from).anyMatch(line -> line.contains("\"seq\":43")));
+    }
+
+    private void assertGoesByTheChange() throws IOException {
+        assertEquals(202, rig.handIn("m", "safe").status());
+        rig.await("its call", () -> rig.first.requests.size() + rig.second.requests.size() > 0);
+        assertEquals(0, rig.first.requests.size(), "a call to what drains");
+    }
+
+    private static void awaitEnd(final Process process) throws InterruptedException {
+        assertTrue(process.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aChangeBeforeTheNextStandsByIsKnownToIt() throws Exception {
+        change();
+        final Process old = rig.startBeside();
+        Rig.terminate(old);
+        awaitEnd(old);
+        assertGoesByTheChange();
+    }
+
+    @Test
+    void aChangeAfterTheNextStandsByIsKnownToIt() throws Exception {
+        final Process old = rig.startBeside();
+        change();
+        Rig.terminate(old);
+        awaitEnd(old);
+        assertGoesByTheChange();
+    }
+
+    @Test
+    void aChangeIsKnownToTheNextThatStandsByAsTheOldIsKilled() throws Exception {
+        final Process old = rig.startBeside();
+        change();
+        old.destroyForcibly();
+        awaitEnd(old);
+        rig.await("the next", () -> rig.log.stream().filter(line -> line.contains("is ready at")).count() == 2);
+        assertGoesByTheChange();
+    }
+
+    @Test
+    void aChangeIsKnownToAStartAfterAKill() throws Exception {
+        change();
+        rig.killAndRestart();
+        assertGoesByTheChange();
+    }
+
+    /** The other way round: what the next one was told itself is newer than what the old one kept. */
+    @Test
+    void whatTheNextWasToldItselfIsNotUndone() throws Exception {
+        rig.platform.script((request, connection) -> {
+            if (request.line().contains("after=41")) {
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                connection.chunk("{\"seq\":43,\"whole\":false,\"hosts\":[" + Rig.host("e1", rig.first, "Terminating") + ","
+                        + Rig.host("e2", rig.second, "Ready") + "]}\n");
+            }
+        });
+        // As the next one knows it: from its configuration.
+        Files.deleteIfExists(folder.resolve("state/list"));
+        final Process old = rig.startBeside();
+        rig.await("the change", () -> rig.hasLogged("\"seq\":43"));
+        Files.writeString(folder.resolve("state/list"), "{\"from\":\"" + rig.platform.address()
+                + "\",\"seq\":42,\"whole\":true,\"hosts\":[" + Rig.host("e1", rig.first, "Ready") + "]}");
+        Rig.terminate(old);
+        awaitEnd(old);
+        assertGoesByTheChange();
+    }
+}
