What is out at an earlier process is held, and what is taken on anew is written anew

A message with its call out at the old process is not adopted by the next one, which did not know its id: handed in there once more it was taken on and would be sent twice. And an id that had ended in a predecessor's file and was taken on anew was written as ended behind its own record when the file was written anew, at the latest as the process left its place: a lost message.

holds() asks the earlier processes' files too; a compaction names no id as ended that it owes.

HandoverCrossingTest: failed 2 of 2 without, passes with.

--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -301,9 +301,9 @@
         return live.size();
     }
 
-    /** True while an end or a notice is owed for a message of that id. */
+    /** True while an end or a notice is owed for a message of that id, here or by an earlier process with its call out. */
     boolean holds(final String id) {
-        return live.containsKey(id);
+        return live.containsKey(id) || predecessors.stream().anyMatch(predecessor -> predecessor.holds(id));
     }
 
     /** Records a message that is taken on; false, and nothing taken, if there is no room for it. */
@@ -481,7 +481,8 @@
                 }
             }
             for (final String id : ended) {
-                written = copy(fresh, record(OVER, id, out -> { }), written);
+                // One of that id may have been taken on anew: it is owed.
+                written = live.containsKey(id) ? written : copy(fresh, record(OVER, id, out -> { }), written);
             }
             Files.move(next, path, StandardCopyOption.ATOMIC_MOVE);
         } catch (final IOException e) {
--- a/src/main/java/driftchute/node/Predecessor.java
+++ b/src/main/java/driftchute/node/Predecessor.java
@@ -52,6 +52,11 @@
         return news;
     }
 
+    /** True while its file says that a message of that id is owed an end, whoever goes on with it. */
+    boolean holds(final String id) {
+        return reader.live().containsKey(id);
+    }
+
     /** Calls that it has out at a destination; none once it is gone. */
     int callsOut(final long destination) {
         return gone ? 0 : callsOut.getOrDefault(destination, 0);
--- a/src/test/java/driftchute/node/HandoverCrossingTest.java
+++ b/src/test/java/driftchute/node/HandoverCrossingTest.java
@@ -248,6 +248,37 @@
         assertTrue(own.holds("x"), "taken on, and promised");
     }
 
+    /** What is out at the old one is not adopted, and held by the courier all the same. */
+    @Test
+    void aRepeatOfWhatIsOutAtTheOldIsNoNewMessage() throws Exception {
+        final Held out = held("x");
+        assertTrue(old.take(out) && old.begin(out, clock.wallUs(), "a"));
+        takeOver();
+        assertTrue(host.holds("x"), "taken on twice, it would be sent twice");
+        old.settle(out, false);
+        old.over("x");
+        awaitReading();
+        assertFalse(host.holds("x"), "over");
+    }
+
+    /** The same as the one before it, and this process leaves its place in its turn: it writes its file anew. */
+    @Test
+    void whatWasTakenOnAnewIsInTheFileThatIsWrittenAnew() throws Exception {
+        takeOver();
+        assertTrue(old.take(held("x")));
+        old.over("x");
+        awaitReading();
+        handIn("x");
+        loop.pass(50);
+        assertEquals("accepted", answers.get("x"));
+        host.leave();
+        try (FileChannel file = FileChannel.open(state.resolve("journal.1"))) {
+            final JournalReader reader = new JournalReader(file);
+            reader.read();
+            assertTrue(reader.live().containsKey("x"), "taken on, and promised");
+        }
+    }
+
     // ---------------------------------------------------------------- taking up a full store
 
     private void fill() {
