--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -74,6 +74,11 @@
     private Lock lock;
     private long fileBytes;
     private FileChannel file;
+    /**
+     * A descriptor that a compaction uses for its file: clients and calls may have all others just then, and what cannot
+     * be recorded can be neither taken on nor tried. It is the folder's; null while there was none to be had.
+     */
+    private FileChannel spare;
     private long size;
     private long liveBytes;
     /** A record could not be written: the file lacks it until what is known here is written anew. */
@@ -122,6 +127,7 @@
         }
         file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         load();
+        keepSpare();
     }
 
     private Path numbered(final int number) {
@@ -381,8 +387,25 @@
         }
     }
 
+    private void keepSpare() {
+        try {
+            spare = FileChannel.open(folder, StandardOpenOption.READ);
+        } catch (final IOException e) {
+            // The next compaction goes without, and says so if it fails.
+            spare = null;
+        }
+    }
+
+    private void useSpare() throws IOException {
+        if (spare != null) {
+            spare.close();
+            spare = null;
+        }
+    }
+
     @Override
     public void close() throws IOException {
+        useSpare();
         file.close();
         lock.close();
     }
@@ -487,8 +510,17 @@
         }
     }
 
-    /** Writes what is owed to a new file and puts it in the place of the old one in one step. */
     private void compact() throws IOException {
+        useSpare();
+        try {
+            writeAnew();
+        } finally {
+            keepSpare();
+        }
+    }
+
+    /** Writes what is owed to a new file and puts it in the place of the old one in one step. */
+    private void writeAnew() throws IOException {
         final Path next = nextPath();
         final FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE,
                 StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.READ, StandardOpenOption.WRITE);
--- a/src/test/java/driftchute/node/JournalCrossingTest.java
+++ b/src/test/java/driftchute/node/JournalCrossingTest.java
@@ -111,6 +111,49 @@
         }
     }
 
+    // ---------------------------------------------------------------- the limit of descriptors
+
+    /** Idle clients have every descriptor as the file has to be written anew: messages are taken on and tried as ever. */
+    @Test
+    void withNoDescriptorLeftTheFileIsStillWrittenAnew() throws IOException {
+        final List<FileInputStream> taken = new ArrayList<>();
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            // Once with descriptors, so that every class that this needs is there.
+            turnOver(journal, "before");
+            try {
+                takeAll(taken);
+                turnOver(journal, "without");
+            } finally {
+                for (final FileInputStream one : taken) {
+                    one.close();
+                }
+            }
+            turnOver(journal, "after");
+            assertEquals(List.of(), ids(journal));
+        }
+    }
+
+    private static void takeAll(final List<FileInputStream> taken) {
+        try {
+            while (true) {
+                taken.add(new FileInputStream("/dev/null"));
+            }
+        } catch (final IOException e) {
+            assertTrue(e.getMessage().contains("Too many open files"), e.getMessage());
+        }
+    }
+
+    /** Writes more than a file may hold. */
+    private static void turnOver(final Journal journal, final String name) {
+        for (int round = 0; round < 4 * DISK_BYTES / 1000; round++) {
+            final Held passing = held(name + round, 1000);
+            assertTrue(journal.take(passing), "taken on: " + passing.id);
+            assertTrue(journal.begin(passing, round, "a"), "tried: " + passing.id);
+            journal.settle(passing, true);
+            journal.over(passing);
+        }
+    }
+
     // ---------------------------------------------------------------- room
 
     /** The earlier process has its share out in calls and the next one fills its own: together they stay inside. */
