--- a/src/main/java/driftchute/node/JournalReader.java
+++ b/src/main/java/driftchute/node/JournalReader.java
@@ -111,7 +111,7 @@
         return live;
     }
 
-    /** All messages whose end stands in the file. */
+    /** All messages whose end stands in the file, but for those that it takes on again behind that. */
     Set<String> ended() {
         return ended;
     }
@@ -136,6 +136,7 @@
             version = in.readInt();
         } else if (type == Journal.TAKEN) {
             live.put(id, taken(id, in));
+            ended.remove(id);
         } else if (type == Journal.OVER) {
             live.remove(id);
             ended.add(id);
--- a/src/test/java/driftchute/node/JournalCrossingTest.java
+++ b/src/test/java/driftchute/node/JournalCrossingTest.java
@@ -154,6 +154,41 @@
         }
     }
 
+    // ---------------------------------------------------------------- an id that comes again
+
+    /** First its end, then the same id anew, in a file that was not written anew since: the next process owes it. */
+    @Test
+    void anIdThatIsTakenOnAgainAfterItsEndIsOwedByTheNextProcess() throws IOException {
+        try (Journal old = Journal.open(folder, DISK_BYTES)) {
+            final Held first = held("again", 10);
+            assertTrue(old.take(first));
+            old.over(first);
+            assertTrue(old.take(held("again", 20)));
+            try (Journal next = Journal.open(folder, DISK_BYTES)) {
+                next.poll().over().forEach(next::over);
+                assertEquals(List.of("again"), ids(next));
+            }
+        }
+    }
+
+    /** The same in the file of a process that was killed before it could write it anew. */
+    @Test
+    void anIdThatWasTakenOnAgainIsOwedAfterAKillOfTwoProcesses() throws IOException {
+        try (Journal old = Journal.open(folder, DISK_BYTES); Journal next = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(old.take(held("other", 10)));
+            final Held first = held("again", 10);
+            assertTrue(next.take(first));
+            next.over(first);
+            // Until the earlier file is gone this could be its message: it is turned away, or owed, but not forgotten.
+            final boolean isTaken = next.take(held("again", 20));
+            turnOver(next, "compact");
+            try (Journal reader = Journal.open(folder, DISK_BYTES)) {
+                reader.poll().over().forEach(reader::over);
+                assertEquals(isTaken, ids(reader).contains("again"));
+            }
+        }
+    }
+
     // ---------------------------------------------------------------- room
 
     /** The earlier process has its share out in calls and the next one fills its own: together they stay inside. */
