A check of the folder passes over a file that its courier has removed meanwhile

Change: what is gone by then is told as such and passed over.

JournalCrossingTest.aCheckPassesOverAFileThatIsGoneByTheTimeItIsRead: failed 1 of 1 without, passes with.

--- a/src/main/java/driftchute/node/JournalCheck.java
+++ b/src/main/java/driftchute/node/JournalCheck.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.List;
@@ -51,6 +52,9 @@
                         reader.records(),
                         reader.live().size(), reader.position(), file.size() - reader.position(),
                         reader.tail().name().toLowerCase(Locale.ROOT));
+            } catch (final NoSuchFileException e) {
+                // The courier has written its journal anew, or is done with an earlier one's, since the files were listed.
+                System.out.println("gone meanwhile: " + journal.getFileName());
             } catch (final IOException e) {
                 System.out.println("ERR cannot read " + journal + ": " + e.getMessage());
                 return 2;
--- a/src/test/java/driftchute/node/JournalCrossingTest.java
+++ b/src/test/java/driftchute/node/JournalCrossingTest.java
@@ -229,4 +229,16 @@
             return reader.live().values().stream().mapToLong(one -> one.body().length + 50L).sum();
         }
     }
+
+    // ---------------------------------------------------------------- a check beside a process that writes
+
+    /** A compaction's file is listed, and in the journal's place by the time that it is to be read. */
+    @Test
+    void aCheckPassesOverAFileThatIsGoneByTheTimeItIsRead() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(journal.take(held("kept", 10)));
+        }
+        Files.createSymbolicLink(folder.resolve("journal" + NEXT), folder.resolve("nowhere"));
+        assertEquals(0, new CommandLine(new JournalCheck()).execute(folder.toString()));
+    }
 }
