Messages do not wait with an operator's order

Cause: an order waits for the lock of the orders' file while another process of the courier holds it (that may be stopped just there), and held the monitor that the event loop needs to look at the orders: nothing was served until the lock was free. Change: changes exclude each other by a monitor of their own; the one that the loop needs is held only while the file is put in place.

OrdersLockTest: failed 1 of 1 without (no answer within 20 s), passes with.

--- a/src/main/java/driftchute/node/Orders.java
+++ b/src/main/java/driftchute/node/Orders.java
@@ -53,6 +53,8 @@
 
     private final Path folder;
     private final File file;
+    /** Held by a thread that changes the orders, also while it waits for another process: nobody else may wait with it. */
+    private final Object changing = new Object();
     private long seenMs = -1;
     private Standing standing = new Standing(Set.of(), false);
 
@@ -77,20 +79,22 @@
     }
 
     /** Changes the orders; they are in force, and kept, when this returns. */
-    synchronized void change(final UnaryOperator<Standing> step) throws IOException {
-        Files.createDirectories(folder);
-        try (FileChannel channel = FileChannel.open(folder.resolve(LOCK_FILE), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE); FileLock lock = channel.lock()) {
-            assert lock.isValid();
-            final Standing before = standing();
-            final Standing after = step.apply(before);
-            if (!after.equals(before)) {
-                write(after);
+    void change(final UnaryOperator<Standing> step) throws IOException {
+        synchronized (changing) {
+            Files.createDirectories(folder);
+            try (FileChannel channel = FileChannel.open(folder.resolve(LOCK_FILE), StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE); FileLock lock = channel.lock()) {
+                assert lock.isValid();
+                final Standing before = standing();
+                final Standing after = step.apply(before);
+                if (!after.equals(before)) {
+                    write(after);
+                }
             }
         }
     }
 
-    private void write(final Standing next) throws IOException {
+    private synchronized void write(final Standing next) throws IOException {
         final List<String> lines = new ArrayList<>();
         new TreeSet<>(next.out()).forEach(endpoint -> lines.add(OUT + endpoint));
         if (next.drain()) {
