What is due before SIGKILL counts from SIGTERM, not from when the loop comes to it

Cause: the listener's close, the hang-up and the end were counted from the loop's first turn after the signal. A loop that is late (a long pass, a log that takes no more) had them after SIGKILL, or never: the process ended with no last turn. Change: they count from the signal. A loop later than all of them reads what stands in the listener's queue for 50 ms first, then ends what is left.

--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -22,6 +22,8 @@
      * then has 0.5 s to be read.
      */
     private static final long HANG_UP_MS = 2600;
+    /** What stands in the listener's queue is accepted and read within this, a few turns of the loop. */
+    private static final long QUEUE_MS = 50;
     /** When the process ends after SIGTERM: SIGKILL comes no sooner than 3.7 s after it. */
     private static final long STOP_MS = 3100;
     private static final long STOP_CHECK_MS = 20;
@@ -178,6 +180,8 @@
 
     /** On SIGTERM: leaves its place to the process that stands by, or what is not done in time to the next start. */
     private void stop() {
+        // All that is due before SIGKILL counts from here: the loop may come to it late.
+        final long fromUs = clock.nowUs();
         loop.execute(() -> {
             if (!serving) {
                 // It took nothing on: whoever serves goes on.
@@ -187,13 +191,13 @@
             try {
                 ready = false;
                 if (handover.hasNext()) {
-                    leave();
+                    leave(fromUs);
                 } else {
-                    drain();
+                    drain(fromUs);
                 }
             } catch (final IOException e) {
                 Log.failure("the locks cannot be used", e);
-                drain();
+                drain(fromUs);
             }
         });
         try {
@@ -223,26 +227,35 @@
      * Nobody stands by: goes on for as long as clients have connections open and messages are owed, within what is left
      * before SIGKILL, and leaves what is not done by then to the next start.
      */
-    private void drain() {
-        final long stopUs = clock.nowUs() + STOP_MS * US_PER_MS;
+    private void drain(final long fromUs) {
+        final long stopUs = notBeforeRead(fromUs + STOP_MS * US_PER_MS);
         intake.drain();
         host.stopping(stopUs);
-        loop.schedule(() -> {
+        at(fromUs + LISTEN_MS * US_PER_MS, () -> {
             intake.closeListener();
             stopWhen(stopUs, () -> host.idle() && intake.isEmpty());
-        }, LISTEN_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(intake::hangUp, HANG_UP_MS, TimeUnit.MILLISECONDS);
+        });
+        at(notBeforeRead(fromUs + HANG_UP_MS * US_PER_MS), intake::hangUp);
+    }
+
+    /** That moment; or, where the loop is late, the one by which what stands in the listener's queue is read. */
+    private long notBeforeRead(final long us) {
+        return Math.max(us, clock.nowUs() + QUEUE_MS * US_PER_MS);
+    }
+
+    /** Runs it on the loop at that moment, or at once where that is past. */
+    private void at(final long us, final Runnable task) {
+        loop.schedule(task, us - clock.nowUs(), TimeUnit.MICROSECONDS);
     }
 
     /** Another process takes this one's place: ends its calls and its clients' connections, and no more. */
-    private void leave() throws IOException {
-        final long fromUs = clock.nowUs();
+    private void leave(final long fromUs) throws IOException {
         Log.info("another process takes over");
         intake.leave();
         host.leave();
         handover.letGo();
         loop.execute(() -> stopListening(fromUs + LEAVE_LISTEN_MS * US_PER_MS));
-        stopWhen(fromUs + STOP_MS * US_PER_MS, () -> host.idle() && intake.isEmpty());
+        stopWhen(notBeforeRead(fromUs + STOP_MS * US_PER_MS), () -> host.idle() && intake.isEmpty());
     }
 
     /** Listens until the next process does, or does not come. */
--- /dev/null
+++ b/src/test/java/driftchute/node/LastTurnTest.java
@@ -0,0 +1,152 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** SIGTERM, and what crosses it: a busy event loop, a second SIGTERM, a request half of which has come. */
+@Timeout(120)
+final class LastTurnTest {
+    /** After SIGTERM, when all that the end of a process consists of is past. */
+    private static final long PAST_MS = 3250;
+    private static final int TERMINATED = 143;
+    private static final String UP = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    @TempDir
+    private Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        rig = new Rig(folder);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        rig.close();
+    }
+
+    private static void write(final Socket to, final String text) throws IOException {
+        to.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** All but the last byte. */
+    private static String most(final String message) {
+        return message.substring(0, message.length() - 1);
+    }
+
+    private static void assertEnded(final Process process) throws InterruptedException {
+        assertTrue(process.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(TERMINATED, process.exitValue());
+    }
+
+    /** First the signal, then, long after, the loop: no more time is left than the platform gives from the signal on. */
+    @Test
+    void aLoopThatComesToTheSignalLateStillAnswersBeforeTheEnd() throws Exception {
+        rig.program = "driftchute.node.HeldLoop";
+        rig.start();
+        try (Socket half = rig.connect()) {
+            assertEquals(200, Rig.send(half, UP).status());
+            rig.hangUp();
+            rig.await("a loop that is held", () -> rig.hasLogged(HeldLoop.HELD_AT));
+            final Process process = rig.newest();
+            Rig.terminate(process);
+            final long termNs = System.nanoTime();
+            try (Socket queued = rig.connect()) {
+                write(half, most(Rig.message("half", "safe")));
+                write(queued, Rig.message("queued", "safe"));
+                rig.await("its time", () -> System.nanoTime() - termNs > TimeUnit.MILLISECONDS.toNanos(PAST_MS));
+                HeldLoop.release(folder.resolve("state"));
+                final Rig.Answer last = Rig.read(half.getInputStream());
+                assertEquals(503, last.status(), "half a request: refused, " + rig.log);
+                assertTrue(last.head().contains("connection: close"), last.head());
+                assertEquals(-1, half.getInputStream().read(), "the end, not a reset");
+                assertTrue(Rig.read(queued.getInputStream()).status() > 0, "what stood in the queue is answered");
+            }
+            assertEnded(process);
+            rig.await("its last lines", () -> rig.hasLogged("listener_closed") && rig.hasLogged("hung_up"));
+            assertFalse(rig.hasLogged("did not stop in time"), rig.log.toString());
+        }
+    }
+
+    /** A second signal changes nothing: what comes whole meanwhile is taken on, and called once, by whichever process. */
+    @Test
+    void aSecondSignalInTheMiddleOfARequestChangesNothing() throws Exception {
+        rig.start();
+        try (Socket half = rig.connect()) {
+            final String message = Rig.message("half", "once");
+            write(half, most(message));
+            Rig.terminate(rig.newest());
+            rig.await("the drain", () -> {
+                try {
+                    return rig.send(UP).status() == 503;
+                } catch (final IOException e) {
+                    return false;
+                }
+            });
+            Rig.terminate(rig.newest());
+            write(half, message.substring(message.length() - 1));
+            final Rig.Answer last = Rig.read(half.getInputStream());
+            assertEquals(202, last.status());
+            assertTrue(last.head().contains("connection: close"), last.head());
+            assertEquals(-1, half.getInputStream().read(), "the end, not a reset");
+        }
+        assertEnded(rig.newest());
+        assertFalse(rig.hasLogged("did not stop in time"), rig.log.toString());
+        rig.start();
+        rig.await("its call", () -> !rig.first.requests.isEmpty());
+        assertEquals(202, rig.handIn("next", "once").status());
+        rig.await("the next one's", () -> rig.first.requests.size() >= 2);
+        assertEquals(List.of("half", "next"), rig.first.requests.stream().map(call -> call.header("X-Request-ID")).toList());
+        assertEquals(List.of(), rig.notices);
+    }
+
+    /** Several messages share a call that is out at the end: each may have run, and goes again only where it may. */
+    @ParameterizedTest
+    @CsvSource({"once,true", "once,false", "safe,true", "safe,false"})
+    void theMessagesOfACallThatWasOutGoAgainOnlyWhereTheyMay(final String kind, final boolean isKill) throws Exception {
+        rig.hosts = Rig.host("e1", rig.first, "Terminating");
+        rig.first.script((request, connection) -> { });
+        rig.start();
+        rig.await("the watch", () -> !rig.watches.isEmpty());
+        assertEquals(202, rig.handIn("m1", kind).status());
+        assertEquals(202, rig.handIn("m2", kind).status());
+        rig.change(43, Rig.host("e1", rig.first, "Ready"));
+        rig.await("the call", () -> !rig.first.requests.isEmpty());
+        assertEquals("POST /inbox/bulk HTTP/1.1", rig.first.requests.get(0).line());
+        rig.first.script((request, connection) -> connection.answer(200, "[{\"id\":\"m1\",\"state\":\"accepted\"},"
+                + "{\"id\":\"m2\",\"state\":\"accepted\"}]"));
+        if (isKill) {
+            rig.kill();
+        } else {
+            assertEnded(rig.terminate());
+        }
+        rig.hosts = Rig.host("e1", rig.first, "Ready");
+        rig.start();
+        final boolean mayRepeat = kind.equals("safe");
+        for (final String id : List.of("m1", "m2")) {
+            rig.await("its end", () -> mayRepeat ? called(id) == 2 : rig.noticed(id, "undeliverable"));
+            assertEquals(mayRepeat ? 2 : 1, called(id));
+        }
+        assertEquals(mayRepeat, rig.notices.isEmpty(), rig.notices.toString());
+    }
+
+    private long called(final String id) {
+        return rig.first.requests.stream().filter(call -> id.equals(call.header("X-Request-ID"))
+                || call.text().contains('"' + id + '"')).count();
+    }
+}
