One rule for an id that comes again after its end: it is taken on, and owed

HandoverCrossingTest wants the second; with the reader's and the compaction's part of the first, nothing is forgotten, so that the refusal goes.

--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -332,14 +332,10 @@
         return live.containsKey(id) || predecessors.stream().anyMatch(predecessor -> predecessor.holds(id));
     }
 
-    /**
-     * Records a message that is taken on; false, and nothing taken, if there is no room for it, or while an earlier
-     * process's file may name one of that id which has ended here.
-     */
+    /** Records a message that is taken on; false, and nothing taken, if there is no room for it. */
     boolean take(final Held held) {
         final long bytes = bytes(held);
-        if (live.containsKey(held.id) || ended.contains(held.id) || liveBytes + bytes > TAKE_SHARE * fileBytes
-                || !append(taken(held))) {
+        if (live.containsKey(held.id) || liveBytes + bytes > TAKE_SHARE * fileBytes || !append(taken(held))) {
             return false;
         }
         live.put(held.id, held);
