ClosePipelinedTest: the client that reads late is soon done with writing

By reading: the client writes up to some megabytes ahead before it reads, on a busy machine for longer than the 2 s after which one that does not read is closed, so that the verdict hung on the wall clock. Its system now holds little of what it writes, too; it sends as many requests and wants every answer, as before.

--- a/src/test/java/driftchute/node/ClosePipelinedTest.java
+++ b/src/test/java/driftchute/node/ClosePipelinedTest.java
@@ -146,10 +146,14 @@
         }
     }
 
-    /** A client of which little is received without being read, so that answers to it pile up at the other side. */
+    /**
+     * A client of which little is received without being read, so that answers to it pile up at the other side; and that can
+     * write little ahead, so that it is soon done with writing: one that does not read for 2 s is closed.
+     */
     private SocketChannel narrow() throws IOException {
         final SocketChannel channel = SocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_RCVBUF, 1024);
+        channel.setOption(StandardSocketOptions.SO_SNDBUF, 1024);
         try (Socket any = rig.connect()) {
             channel.connect(new InetSocketAddress("127.0.0.1", any.getPort()));
         }
