--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -69,7 +69,7 @@
     private static final long PAUSE_US = SECOND_US / 2;
     /** After refusals, sends go at so many times the rate served and so many a second more: room may come. */
     private static final double SPACING = 1.2, SPACING_LEAST = 0.5;
-    /** Part of a limit's unused share that one courier takes, in even parts of it at most: others take to it too. */
+    /** Part of a limit's unused share that one courier takes; of its even parts, at most: all take to it. */
     private static final double LEFT_PART = 0.25, LEFT_EVEN = 4;
     /** A told wait above this, us, is no limit's, whose spans are a second or two: it is shut. */
     private static final long LIMIT_WAIT_US = 5 * SECOND_US / 2;
@@ -1022,7 +1022,7 @@
         }
     }
 
-    /** Refuses what has least to gain, of its class's worth, before the store is full: no class pays for another. */
+    /** Before the store is full, refuses what has least to gain of its class's worth: no class pays for all. */
     private void makeRoom() {
         final int reserve = (int) Math.max(1, STORE_RESERVE * settings.limits().maxOpen());
         while (open > settings.limits().maxOpen() - reserve) {
