--- a/src/main/java/driftchute/Control.java
+++ b/src/main/java/driftchute/Control.java
@@ -1022,7 +1022,7 @@
         }
     }
 
-    /** Before the store is full, refuses what has least to gain of its class's worth: no class pays for all. */
+    /** Refuses what has least to gain, as a share of its class's worth, before the store is full. */
     private void makeRoom() {
         final int reserve = (int) Math.max(1, STORE_RESERVE * settings.limits().maxOpen());
         while (open > settings.limits().maxOpen() - reserve) {
