--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -120,7 +120,8 @@
         private InetSocketAddress address;
         /** Idle ones, the one used last at the end. */
         private final Deque<Reader> idle = new ArrayDeque<>();
-        private boolean removed;
+        /** It drains or is gone: what is not written to it yet goes elsewhere, and no connection is kept. */
+        private boolean closing;
 
         Pool(final Courier.Endpoint entry, final boolean apart, final InetSocketAddress address) {
             this.endpoint = entry.id();
@@ -161,25 +162,34 @@
         }
     }
 
-    /** The list names an endpoint, or its address has changed. */
+    /** The list names an endpoint, or its address or condition has changed. */
     void listed(final Courier.Endpoint entry, final boolean apart, final InetSocketAddress address) {
         final Pool pool = pools.computeIfAbsent(entry.id(), unused -> new Pool(entry, apart, address));
         if (!pool.address.equals(address)) {
             pool.address = address;
             closeIdle(entry.id());
         }
+        pool.closing = entry.condition() == Courier.Condition.DRAINING;
+        if (pool.closing) {
+            bar(entry.id());
+        }
     }
 
-    /** The list names an endpoint no more: its idle connections serve nothing. */
+    /** The list names an endpoint no more. */
     void removed(final long endpoint) {
-        closeIdle(endpoint);
-        final Pool pool = pools.remove(endpoint);
+        final Pool pool = pools.get(endpoint);
         if (pool != null) {
-            pool.removed = true;
+            pool.closing = true;
+            bar(endpoint);
+            pools.remove(endpoint);
         }
     }
 
-    /** An endpoint is left out: what is not written to it yet may not go, and its idle connections serve nothing. */
+    /**
+     * An endpoint wants nothing new: its idle connections serve nothing, and what is not written to it yet may not go. A
+     * connection may take far longer to come up than the grace of a drain (PROTOCOL-irishead.md, Figures: a send runs
+     * from its first byte).
+     */
     void bar(final long endpoint) {
         closeIdle(endpoint);
         abandonUnwritten(call -> call.endpoint == endpoint);
@@ -223,7 +233,7 @@
     }
 
     void start(final Call call) {
-        if (call.pool == null || call.pool.removed) {
+        if (call.pool == null || call.pool.closing) {
             loop.execute(() -> abandon(call, Result.NOT_SENT));
             return;
         }
@@ -512,7 +522,7 @@
                 context.close();
                 return;
             }
-            if (keep && done.written && !done.pool.removed) {
+            if (keep && done.written && !done.pool.closing) {
                 idleSinceUs = clock.nowUs();
                 done.pool.idle.addLast(this);
             } else {
