--- a/src/main/java/driftchute/node/Notices.java
+++ b/src/main/java/driftchute/node/Notices.java
@@ -28,6 +28,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * The notices of messages that were taken on and not delivered, on their way to the platform: one batch at a time over
@@ -36,17 +37,24 @@
  */
 final class Notices {
     private static final int CONNECT_MS = 1000;
-    /** The platform answers at once; a longer silence says that this connection leads nowhere. */
-    private static final long ANSWER_MS = 1000;
-    /** First and longest back-off: a notice is overdue 0.3 s after its message's time is up. */
+    /**
+     * The platform answers at once; a longer silence says that this connection leads nowhere. Doubled with each, up to
+     * the most, for a platform or a machine that is slow.
+     */
+    private static final long ANSWER_LEAST_MS = 100;
+    private static final long ANSWER_MOST_MS = 1000;
+    /**
+     * First and longest back-off: a notice is overdue 0.3 s after its message's time is up (PROTOCOL-irishead.md, The
+     * rules on sockets), so whoever can be reached again hears of it within that.
+     */
     private static final long AGAIN_LEAST_MS = 50;
-    private static final long AGAIN_MOST_MS = 1000;
+    private static final long AGAIN_MOST_MS = 100;
     private static final int MOST_IN_BATCH = 64;
     private static final int MOST_BODY_BYTES = 1 << 16;
     private static final int CONFIRMED = 204;
 
     private final EventLoop loop;
-    private final Host host;
+    private final Consumer<List<Held>> confirmation;
     private final ObjectMapper json = new ObjectMapper();
     /** All that are owed, those of the batch included. */
     private final Set<Held> owed = new LinkedHashSet<>();
@@ -57,12 +65,18 @@
     private Future<?> answerBy;
     private Future<?> again;
     private long backOffMs = AGAIN_LEAST_MS;
+    private long answerMs = ANSWER_LEAST_MS;
     private int most = MOST_IN_BATCH;
 
     Notices(final InetSocketAddress address, final EventLoop loop, final Host host) {
+        this(address, loop, host::noticed);
+    }
+
+    /** {@code confirmation} is told of those that the platform has heard. */
+    Notices(final InetSocketAddress address, final EventLoop loop, final Consumer<List<Held>> confirmation) {
         this.address = address;
         this.loop = loop;
-        this.host = host;
+        this.confirmation = confirmation;
     }
 
     /** Owes a notice from now on; it goes out with the next flush. */
@@ -81,7 +95,7 @@
             return;
         }
         final String body = fill();
-        answerBy = loop.schedule(this::failed, ANSWER_MS, TimeUnit.MILLISECONDS);
+        answerBy = loop.schedule(this::unanswered, answerMs, TimeUnit.MILLISECONDS);
         if (line == null) {
             line = new Line();
             line.connect(body);
@@ -97,6 +111,7 @@
         }
         address = next;
         backOffMs = AGAIN_LEAST_MS;
+        answerMs = ANSWER_LEAST_MS;
         if (again != null) {
             again.cancel(false);
             again = null;
@@ -134,8 +149,9 @@
             final List<Held> confirmed = List.copyOf(batch);
             stopWaiting();
             confirmed.forEach(owed::remove);
-            host.noticed(confirmed);
+            confirmation.accept(confirmed);
             backOffMs = AGAIN_LEAST_MS;
+            answerMs = ANSWER_LEAST_MS;
             most = Math.min(MOST_IN_BATCH, 2 * most);
             flush();
             return;
@@ -148,7 +164,12 @@
         later();
     }
 
-    /** The batch went unanswered: its connection is of no use. */
+    private void unanswered() {
+        answerMs = Math.min(2 * answerMs, ANSWER_MOST_MS);
+        failed();
+    }
+
+    /** The batch was not confirmed, and its connection is of no use. */
     private void failed() {
         rest();
         later();
--- /dev/null
+++ b/src/test/java/driftchute/node/NoticesTest.java
@@ -0,0 +1,154 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Notices are heard within 0.3 s of what keeps them, on a clock of the test's own, and each is confirmed once. */
+@Timeout(60)
+final class NoticesTest {
+    private static final long RULE_MS = 300;
+    private static final String CONFIRMED = "HTTP/1.1 204 X\r\n\r\n";
+
+    private final SteppedLoop loop = new SteppedLoop();
+    private final List<String> confirmed = new ArrayList<>();
+    private AgentOnLoop platform;
+    private Notices notices;
+
+    private void begin(final BiConsumer<String, AgentOnLoop.Peer> script) {
+        platform = new AgentOnLoop(loop, script);
+        notices = new Notices(platform.address(), loop.mine(), heard -> heard.forEach(held -> confirmed.add(held.id)));
+    }
+
+    @AfterEach
+    void end() {
+        loop.close();
+    }
+
+    private void owe(final String id) {
+        final Held held = new Held(id, "safe", null, 7, 0, new byte[0]);
+        held.owe(new Held.Notice(true, 0));
+        notices.add(held);
+    }
+
+    private long untilConfirmed(final String... ids) {
+        return loop.until(10 * RULE_MS, () -> confirmed.containsAll(List.of(ids)));
+    }
+
+    private void assertAllConfirmedOnce(final String... ids) {
+        assertEquals(List.of(ids), confirmed);
+        assertTrue(notices.isEmpty());
+    }
+
+    /** The first connections lead nowhere, in every way. */
+    @Test
+    void aConnectionThatLeadsNowhereKeepsNoNoticeTooLong() {
+        final List<BiConsumer<String, AgentOnLoop.Peer>> ways = List.of((request, peer) -> { },
+                (request, peer) -> peer.write("HTTP/1.1 2"), (request, peer) -> peer.reset(),
+                (request, peer) -> peer.write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"));
+        for (final var way : ways) {
+            begin((request, peer) -> {
+                if (platform.requests.size() == 1) {
+                    way.accept(request, peer);
+                } else {
+                    peer.write(CONFIRMED);
+                }
+            });
+            owe("m1");
+            notices.flush();
+            loop.pass(10);
+            owe("m2");
+            notices.flush();
+            final long afterMs = untilConfirmed("m1", "m2");
+            assertTrue(afterMs < RULE_MS, afterMs + " ms, way " + ways.indexOf(way));
+            assertAllConfirmedOnce("m1", "m2");
+            confirmed.clear();
+        }
+    }
+
+    @Test
+    void whoCanBeReachedAgainHearsInTime() {
+        for (long awayMs = 2000; awayMs <= 3000; awayMs += 100) {
+            begin((request, peer) -> peer.write(CONFIRMED));
+            platform.refuse();
+            owe("m1");
+            notices.flush();
+            loop.pass(awayMs);
+            platform.listen();
+            final long afterMs = untilConfirmed("m1");
+            assertTrue(afterMs < RULE_MS, afterMs + " ms after " + awayMs + " ms");
+            confirmed.clear();
+        }
+    }
+
+    /** Its confirmation and its time-out fall due in the same turn; then the time-out is first. */
+    @Test
+    void aConfirmationThatCrossesTheTimeOutCountsOnce() {
+        for (final long atMs : List.of(80L, 90L, 100L)) {
+            begin((request, peer) -> {
+                if (platform.requests.size() > 1) {
+                    peer.write(CONFIRMED);
+                }
+            });
+            owe("m1");
+            notices.flush();
+            loop.pass(atMs);
+            platform.peers.get(0).write(CONFIRMED);
+            loop.pass(RULE_MS);
+            assertAllConfirmedOnce("m1");
+            confirmed.clear();
+        }
+    }
+
+    /** The platform closes the resting connection before the batch is written, in the same turn, and after it. */
+    @Test
+    void aCloseThatCrossesABatchCostsNoNotice() {
+        for (final boolean closeFirst : List.of(true, false)) {
+            begin((request, peer) -> {
+                if (!request.contains("m2") || platform.peers.indexOf(peer) > 0) {
+                    peer.write(CONFIRMED);
+                }
+            });
+            owe("m1");
+            notices.flush();
+            untilConfirmed("m1");
+            owe("m2");
+            if (closeFirst) {
+                platform.peers.get(0).reset();
+                notices.flush();
+            } else {
+                notices.flush();
+                platform.peers.get(0).reset();
+            }
+            assertTrue(untilConfirmed("m2") < RULE_MS, "closed first: " + closeFirst);
+            assertAllConfirmedOnce("m1", "m2");
+            confirmed.clear();
+        }
+    }
+
+    /** The old address confirms what it was sent in the turn of the move, or never. */
+    @Test
+    void aMoveWithABatchOutIsConfirmedByTheNewAddress() {
+        for (final boolean late : List.of(true, false)) {
+            begin((request, peer) -> { });
+            final AgentOnLoop moved = new AgentOnLoop(loop, (request, peer) -> peer.write(CONFIRMED));
+            owe("m1");
+            notices.flush();
+            loop.settle();
+            if (late) {
+                platform.peers.get(0).write(CONFIRMED);
+            }
+            notices.move(moved.address());
+            loop.settle();
+            assertEquals(1, moved.requests.size());
+            assertAllConfirmedOnce("m1");
+            confirmed.clear();
+        }
+    }
+}
