--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -2,7 +2,6 @@
 
 import driftchute.Courier;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
@@ -14,7 +13,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -59,6 +57,7 @@
     private static final int FAILED = 500;
     private static final int MOST_BODY_BYTES = 1 << 16;
     private static final int MOST_ID_CHARS = 128;
+    /** Whole requests of one connection that wait their turn; what comes behind them is left unread until then. */
     private static final int MOST_QUEUED = 16;
     /** Bodies that are coming in or wait their turn, on all connections together. */
     private static final int MOST_HELD_BYTES = 1 << 22;
@@ -67,7 +66,10 @@
     private static final int BACKLOG = 256;
     private static final long US_PER_MS = 1000;
     private static final double US_PER_SECOND = 1_000_000;
-    /** How long a request may take to come in whole, and a new connection to begin one. */
+    /**
+     * How long a request may take to come in whole, a new connection to begin one, and a client to read what it is
+     * answered: it waits for 400 ms (PROTOCOL-irishead.md, Clients to couriers).
+     */
     private static final long REQUEST_US = 2_000_000;
     /** How long a connection is kept between requests, and how long where there are many. */
     private static final long IDLE_US = 10_000_000;
@@ -79,9 +81,6 @@
     private static final long DRAIN_IDLE_US = 2_000_000;
     /** In the operators' drain, and in an upgrade, each that is idle so long after its beginning is closed. */
     private static final long DRAIN_US = 1_500_000;
-    /** For how long, and how much, what a client sends behind its last answer is read away. */
-    private static final long LINGER_MS = 500;
-    private static final int MOST_DRAINED_BYTES = 1 << 18;
     private static final long SWEEP_MS = 200;
     /** The loop has looked at its sockets again by then, and what it gave back is free. */
     private static final long DEREGISTERED_MS = 2;
@@ -138,7 +137,7 @@
                     @Override
                     protected void initChannel(final Channel channel) {
                         final Session session = new Session();
-                        channel.pipeline().addLast(new RequestDecoder(session::bytesCame), new HttpResponseEncoder(),
+                        channel.pipeline().addLast(session.decoder, new HttpResponseEncoder(),
                                 new HttpServerExpectContinueHandler(), session);
                     }
                 }).bind(config.listen());
@@ -215,9 +214,9 @@
         int incomplete = 0;
         for (final Session session : List.copyOf(sessions)) {
             if (session.isIdle()) {
-                session.drop();
+                session.closeIdle();
                 idle++;
-            } else if (session.askedSinceUs != Long.MAX_VALUE && !session.isClosing()) {
+            } else if (session.askedSinceUs != Long.MAX_VALUE && !session.closing) {
                 session.reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
                 incomplete++;
             }
@@ -235,12 +234,14 @@
         final long idleUs = idleUs(nowUs);
         tellCrowd(nowUs);
         for (final Session session : List.copyOf(sessions)) {
-            if (session.askedSinceUs <= nowUs - REQUEST_US && !session.isClosing()) {
+            if (session.askedSinceUs <= nowUs - REQUEST_US && !session.closing) {
                 unfinished++;
                 session.reject(HttpResponseStatus.REQUEST_TIMEOUT);
-            } else if (session.isIdle()
-                    && session.idleSinceUs() <= nowUs - (session.hasAsked ? idleUs : REQUEST_US)) {
+            } else if (session.stalledSinceUs <= nowUs - REQUEST_US) {
                 session.drop();
+            } else if (session.isIdle()
+                    && session.idleSinceUs() <= nowUs - (session.hasAsked && !session.refusing ? idleUs : REQUEST_US)) {
+                session.closeIdle();
             }
         }
     }
@@ -290,8 +291,9 @@
     private record Request(HttpRequest head, byte[] body) { }
 
     /** One client's connection. */
-    private final class Session extends ChannelInboundHandlerAdapter {
+    private final class Session extends ChannelInboundHandlerAdapter implements RequestDecoder.Flow {
         private static final int IN_USE = 4;
+        private final RequestDecoder decoder = new RequestDecoder(this);
         private ChannelHandlerContext context;
         private HttpRequest head;
         /** What has come of a body; nothing is kept of it once the request is whole. */
@@ -302,10 +304,16 @@
         private String currentId;
         private boolean reading;
         private boolean hasAsked;
-        /** What is said once all before it is answered; then nothing further is read. */
-        private HttpResponseStatus last;
-        private boolean rejected;
-        private int drainedBytes;
+        /** What is said to a request that is not read to its end, once all before it is answered. */
+        private HttpResponseStatus refusal;
+        /** No further request is taken from it. */
+        private boolean closing;
+        /** Its last answer is given. */
+        private boolean ended;
+        /** What was read and is not answered yet is turned away, each with its answer. */
+        private boolean refusing;
+        /** Since when it does not read what it is answered. */
+        private long stalledSinceUs = Long.MAX_VALUE;
         /** Since when it has been of no use, and since when a request has been coming in. */
         private long sinceUs = clock.nowUs();
         private long askedSinceUs = Long.MAX_VALUE;
@@ -323,18 +331,23 @@
         }
 
         private boolean isIdle() {
-            return askedSinceUs == Long.MAX_VALUE && current == null && queue.isEmpty() && !isClosing();
+            return askedSinceUs == Long.MAX_VALUE && current == null && queue.isEmpty() && !closing;
         }
 
-        private boolean isClosing() {
-            return last != null;
+        /**
+         * True if something that was sent behind the current request is, or may be, still to be answered. A client that
+         * said {@code Connection: close} means to send nothing behind it, and what is not read yet is left so.
+         */
+        private boolean hasMore() {
+            return !queue.isEmpty() || refusal != null || !closing && HttpUtil.isKeepAlive(current.head())
+                    && (askedSinceUs != Long.MAX_VALUE || decoder.mayHaveMore());
         }
 
         private int usefulness(final long idleBeforeUs) {
-            if (rejected) {
+            if (ended) {
                 return 0;
             }
-            if (current != null || !queue.isEmpty()) {
+            if (stalledSinceUs == Long.MAX_VALUE && (current != null || !queue.isEmpty())) {
                 return IN_USE;
             }
             if (isIdle()) {
@@ -343,7 +356,7 @@
             return 2;
         }
 
-        /** Closes it, and no longer counts it from this moment: its end is told only after this pass. */
+        /** Closes it at once, and no longer counts it from this moment: its end is told only after this pass. */
         private void drop() {
             sessions.remove(this);
             context.close();
@@ -374,40 +387,51 @@
          */
         @Override
         public void userEventTriggered(final ChannelHandlerContext ctx, final Object event) {
-            if (event != ChannelInputShutdownEvent.INSTANCE) {
+            if (event != ChannelInputShutdownEvent.INSTANCE || ended) {
+                return;
+            }
+            if (current == null && queue.isEmpty()) {
+                closeIdle();
                 return;
             }
+            closing = true;
+            refusing = true;
             if (currentId != null) {
                 final String id = currentId;
-                last = HttpResponseStatus.SERVICE_UNAVAILABLE;
                 host.withdraw(id);
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, GONE_RETRY_US);
-            } else if (isClosing() || current == null && queue.isEmpty()) {
-                drop();
-            } else {
-                last = HttpResponseStatus.BAD_REQUEST;
             }
         }
 
-        /** Bytes have come, perhaps too few to make a head. */
-        private void bytesCame() {
+        @Override
+        public void bytesCame() {
             cameUs = clock.nowUs();
-            if (askedSinceUs == Long.MAX_VALUE) {
-                askedSinceUs = cameUs;
+        }
+
+        @Override
+        public void begun() {
+            askedSinceUs = clock.nowUs();
+        }
+
+        @Override
+        public boolean mayGoOn() {
+            return queue.size() < MOST_QUEUED && context.channel().isWritable();
+        }
+
+        /** A client that does not read its answers is read no further until it does. */
+        @Override
+        public void channelWritabilityChanged(final ChannelHandlerContext ctx) {
+            if (!ended) {
+                stalledSinceUs = ctx.channel().isWritable() ? Long.MAX_VALUE : clock.nowUs();
+                ctx.executor().execute(this::goOn);
             }
         }
 
         @Override
         public void channelRead(final ChannelHandlerContext ctx, final Object part) {
             try {
-                if (part instanceof HttpObject object && !isClosing()) {
+                if (part instanceof HttpObject object && !closing) {
                     read(object);
-                } else if (part instanceof ByteBuf bytes && rejected) {
-                    // It is read away, within bounds, lest a reset overtake the answer.
-                    drainedBytes += bytes.readableBytes();
-                    if (drainedBytes > MOST_DRAINED_BYTES) {
-                        ctx.close();
-                    }
                 }
             } finally {
                 ReferenceCountUtil.release(part);
@@ -425,7 +449,6 @@
             if (part instanceof HttpRequest request) {
                 head = request;
                 reading = true;
-                bytesCame();
                 if (!RequestDecoder.isFramedPlainly(request)) {
                     reject(HttpResponseStatus.BAD_REQUEST);
                     return;
@@ -464,27 +487,42 @@
             queuedBytes += body.size();
             head = null;
             body = new ByteArrayOutputStream(0);
-            if (queue.size() > MOST_QUEUED) {
-                reject(HttpResponseStatus.TOO_MANY_REQUESTS);
-            }
             next();
         }
 
         /** Serves requests of one connection in turn, so that their answers keep their order. */
         private void next() {
-            while (current == null && !queue.isEmpty() && !rejected) {
+            final Channel channel = context.channel();
+            while (current == null && !queue.isEmpty() && !ended && channel.isWritable()) {
                 current = queue.poll();
                 queuedBytes -= current.body().length;
                 heldBytes -= current.body().length;
                 serve(current);
             }
-            if (current == null && queue.isEmpty() && last != null && !rejected) {
+            if (current == null && queue.isEmpty() && refusal != null && !ended) {
                 sayLast();
             }
-            context.channel().config().setAutoRead(queue.isEmpty());
+            if (!ended) {
+                final boolean reads = queue.isEmpty() && channel.isWritable();
+                if (reads && !channel.config().isAutoRead() && askedSinceUs != Long.MAX_VALUE) {
+                    // Meanwhile it could not go on.
+                    askedSinceUs = clock.nowUs();
+                }
+                channel.config().setAutoRead(reads);
+            }
+        }
+
+        /** An answer is given: the next request has its turn, and what waited behind those is decoded. */
+        private void goOn() {
+            next();
+            decoder.decodeRest();
         }
 
         private void serve(final Request request) {
+            if (refusing) {
+                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, GONE_RETRY_US);
+                return;
+            }
             final String uri = request.head().uri();
             final int query = uri.indexOf('?');
             final String path = query < 0 ? uri : uri.substring(0, query);
@@ -557,7 +595,9 @@
             // Who asks for what cannot be had is not trusted with what it sends behind it.
             final boolean good = status.code() < HttpResponseStatus.BAD_REQUEST.code()
                     || status.code() == TOO_MANY || status.code() == UNAVAILABLE || status.code() == FAILED;
-            final boolean keep = good && HttpUtil.isKeepAlive(current.head()) && !isDraining() && last == null;
+            refusing |= !good;
+            final boolean keep = !refusing && HttpUtil.isKeepAlive(current.head()) && !isDraining() && !closing;
+            final boolean ends = !keep && !hasMore() || status.equals(HttpResponseStatus.BAD_REQUEST);
             current = null;
             currentId = null;
             sinceUs = clock.nowUs();
@@ -566,23 +606,18 @@
                 response.headers().set(HttpHeaderNames.RETRY_AFTER,
                         String.format(Locale.ROOT, "%.3f", retryAfterUs / US_PER_SECOND));
             }
-            if (!keep && queue.isEmpty() || !good) {
-                response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            if (ends) {
                 return end(response);
             }
             final ChannelFuture written = context.writeAndFlush(response);
-            if (context.channel().isWritable()) {
-                context.executor().execute(this::next);
-            } else {
-                // It asks and does not read what it is told.
-                context.close();
-            }
+            context.executor().execute(this::goOn);
             return written;
         }
 
         /** Turns away what cannot be read, once what was read before it is answered. */
         private void reject(final HttpResponseStatus status) {
-            last = status;
+            refusal = status;
+            closing = true;
             reading = false;
             heldBytes -= body.size();
             body = new ByteArrayOutputStream(0);
@@ -592,29 +627,35 @@
         }
 
         private void sayLast() {
-            final var response = response(last);
-            response.headers().set(HttpHeaderNames.CONNECTION, "close");
-            end(response);
+            end(response(refusal));
         }
 
-        /** The last answer of a connection; what still comes is read away for a while and not looked at. */
+        /** Gives the last answer of a connection. */
         private ChannelFuture end(final DefaultFullHttpResponse response) {
-            last = response.status();
-            rejected = true;
+            response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            return end(context.writeAndFlush(response));
+        }
+
+        /** Closes it where nothing is asked: one that never asked has no answer that a reset could overtake. */
+        private void closeIdle() {
+            if (hasAsked) {
+                end(context.writeAndFlush(Unpooled.EMPTY_BUFFER));
+            } else {
+                drop();
+            }
+        }
+
+        private ChannelFuture end(final ChannelFuture written) {
+            closing = true;
+            ended = true;
+            stalledSinceUs = clock.nowUs();
             heldBytes -= queuedBytes;
             queuedBytes = 0;
             queue.clear();
-            if (context.pipeline().get(RequestDecoder.class) != null) {
-                context.pipeline().remove(RequestDecoder.class);
+            if (!decoder.isRemoved()) {
+                context.pipeline().remove(decoder);
             }
-            context.channel().config().setAutoRead(true);
-            final ChannelFuture written = context.writeAndFlush(response);
-            written.addListener(done -> {
-                if (context.channel() instanceof SocketChannel socket && done.isSuccess()) {
-                    socket.shutdownOutput();
-                }
-                context.executor().schedule(() -> context.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-            });
+            LingeringClose.after(written);
             return written;
         }
 
--- /dev/null
+++ b/src/main/java/driftchute/node/LingeringClose.java
@@ -0,0 +1,61 @@
+package driftchute.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Lingering close (RFC 9112, 9.6): a socket that is closed over unread bytes is reset, and the reset can overtake the
+ * last answer. So the sending side is closed first, and what still comes is read away, within bounds, and not looked at.
+ */
+final class LingeringClose extends ChannelInboundHandlerAdapter {
+    /** For how long: a client waits 400 ms for an answer (PROTOCOL-irishead.md, Clients to couriers). */
+    private static final long LINGER_MS = 500;
+    /** From a client that sends more than that nothing is read any more, and its connection is reset in the end. */
+    private static final int MOST_DRAINED_BYTES = 1 << 18;
+
+    private final ChannelFuture lastWritten;
+    private int drainedBytes;
+
+    private LingeringClose(final ChannelFuture lastWritten) {
+        this.lastWritten = lastWritten;
+    }
+
+    /** Closes the connection once its last bytes are written; from this moment nothing more is read off it. */
+    static void after(final ChannelFuture lastWritten) {
+        final var channel = lastWritten.channel();
+        channel.pipeline().addFirst(new LingeringClose(lastWritten));
+        channel.config().setAutoRead(true);
+        lastWritten.addListener(done -> {
+            if (!done.isSuccess() || !(channel instanceof SocketChannel socket) || socket.isInputShutdown()) {
+                channel.close();
+                return;
+            }
+            socket.shutdownOutput();
+            channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    @Override
+    public void channelRead(final ChannelHandlerContext context, final Object part) {
+        if (part instanceof ByteBuf bytes) {
+            drainedBytes += bytes.readableBytes();
+        }
+        ReferenceCountUtil.release(part);
+        if (drainedBytes > MOST_DRAINED_BYTES) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE && lastWritten.isDone()) {
+            context.close();
+        }
+    }
+}
--- a/src/main/java/driftchute/node/RequestDecoder.java
+++ b/src/main/java/driftchute/node/RequestDecoder.java
@@ -1,10 +1,14 @@
 package driftchute.node;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 
 /**
  * Reads requests strictly. The library forgives a length beside a transfer coding by dropping one of them; but two
@@ -14,19 +18,80 @@
     private static final int MOST_LINE_BYTES = 2048;
     private static final int MOST_HEAD_BYTES = 8192;
 
-    private final Runnable bytesCame;
+    /** What the connection is told, and says, while requests come in. */
+    interface Flow {
+        /** Something has been read. */
+        void bytesCame();
 
-    /** {@code bytesCame} is told of all that is read, also of what is no head yet. */
-    RequestDecoder(final Runnable bytesCame) {
+        /** A request's first byte is there. */
+        void begun();
+
+        /** False while what has been read already is to wait undecoded. */
+        boolean mayGoOn();
+    }
+
+    private final Flow flow;
+    private ChannelHandlerContext context;
+    /** A request's first byte is there, and not yet its last. */
+    private boolean isMidway;
+    private boolean hasFilledItsBuffer;
+
+    RequestDecoder(final Flow flow) {
         super(new HttpDecoderConfig().setMaxInitialLineLength(MOST_LINE_BYTES).setMaxHeaderSize(MOST_HEAD_BYTES)
                 .setAllowDuplicateContentLengths(false).setStrictLineParsing(true).setUseRfc9112TransferEncoding(true));
-        this.bytesCame = bytesCame;
+        this.flow = flow;
+    }
+
+    @Override
+    public void handlerAdded(final ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    @Override
+    public void channelRead(final ChannelHandlerContext ctx, final Object bytes) throws Exception {
+        flow.bytesCame();
+        hasFilledItsBuffer = bytes instanceof ByteBuf buffer && !buffer.isWritable();
+        super.channelRead(ctx, bytes);
     }
 
     @Override
-    public void channelRead(final ChannelHandlerContext context, final Object bytes) throws Exception {
-        bytesCame.run();
-        super.channelRead(context, bytes);
+    protected void decode(final ChannelHandlerContext ctx, final ByteBuf in, final List<Object> out) throws Exception {
+        if (!isMidway) {
+            // Empty lines in front of a request are no part of one (RFC 9112, 2.2).
+            in.skipBytes(blankBytes(in));
+            if (!in.isReadable() || !flow.mayGoOn()) {
+                return;
+            }
+            isMidway = true;
+            flow.begun();
+        }
+        super.decode(ctx, in, out);
+        isMidway = out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
+    }
+
+    private static int blankBytes(final ByteBuf in) {
+        final int end = in.forEachByte(next -> next == '\r' || next == '\n');
+        return end < 0 ? in.readableBytes() : end - in.readerIndex();
+    }
+
+    /** True if something is left of what was read last, or is likely to have come with it. */
+    boolean mayHaveMore() {
+        return hasFilledItsBuffer || !isRemoved() && internalBuffer().readableBytes() > blankBytes(internalBuffer());
+    }
+
+    boolean isRemoved() {
+        return context.isRemoved();
+    }
+
+    /** Decodes what was read and had to wait. */
+    void decodeRest() {
+        if (!isRemoved() && actualReadableBytes() > 0) {
+            try {
+                super.channelRead(context, Unpooled.EMPTY_BUFFER);
+            } catch (final Exception e) {
+                context.fireExceptionCaught(e);
+            }
+        }
     }
 
     @Override
