--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -98,12 +98,17 @@
     private static final long TAKEN_US = 1_000_000;
     /** Share of the descriptors for clients. */
     private static final double SOCKET_SHARE = 0.4;
+    /**
+     * The same for a process that leaves: the next one has its whole share for them, and each of the two has a fifth for
+     * calls (Host); together they stay within the courier's sockets (DEPLOY-irishead.md).
+     */
+    private static final double LEAVING_SHARE = 0.15;
 
     private final Config config;
     private final Clock clock;
     private final Host host;
     private final Orders orders;
-    private final int mostConnections;
+    private int mostConnections;
     private final Set<Session> sessions = new HashSet<>();
     /** Messages that were taken on, by their ids, and until when each of them is not taken on again. */
     private final Map<String, Long> takenUntilUs = new HashMap<>();
@@ -182,6 +187,11 @@
     void leave() {
         ending = true;
         leaving = true;
+        mostConnections = (int) Math.max(1, LEAVING_SHARE * config.sockets());
+        while (sessions.size() > mostConnections && dropLeastUseful(null)) {
+            // Those in use stay: there are no more of them than clients, which come to the next process one by one.
+            continue;
+        }
     }
 
     /**
--- a/src/test/java/driftchute/node/IdleCloseCrossingTest.java
+++ b/src/test/java/driftchute/node/IdleCloseCrossingTest.java
@@ -13,6 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +34,7 @@
     /** After 2 s a connection may be closed on which nothing is asked (TERMS-irishead.md). */
     private static final long IDLE_US = 2_000_000;
     private static final String NOTHING = "00000000";
+    private static final String ESTABLISHED = "01";
 
     @TempDir
     private Path folder;
@@ -243,4 +246,39 @@
             assertEquals(200, Rig.send(younger, UP).status());
         }
     }
+
+    /** True while the courier has its end of a connection open. */
+    private static boolean isOpenAtCourier(final Socket socket) {
+        final String here = ":%04X".formatted(socket.getLocalPort());
+        final String there = ":%04X".formatted(socket.getPort());
+        return Stream.of("/proc/net/tcp", "/proc/net/tcp6").flatMap(IdleCloseCrossingTest::lines)
+                .map(line -> line.trim().split("\\s+"))
+                .anyMatch(line -> line[1].endsWith(there) && line[2].endsWith(here) && line[3].equals(ESTABLISHED));
+    }
+
+    /** An upgrade: the next process has its whole share of the descriptors for clients while this one ends. */
+    @Test
+    void aCrowdMakesRoomAsAnotherProcessTakesOver() throws Exception {
+        start(40);
+        final List<Socket> crowd = new ArrayList<>();
+        try (Socket used = connect(); Socket asks = accepted()) {
+            assertEquals(200, Rig.send(used, UP).status());
+            for (int count = 0; count < 14; count++) {
+                crowd.add(accepted());
+            }
+            onLoop(() -> {
+                leaveUnread(asks, Rig.message("asks", "safe"));
+                intake.leave();
+                return null;
+            });
+            assertEquals(202, Rig.read(asks.getInputStream()).status());
+            assertEquals(200, Rig.send(used, UP).status());
+            // Six in all: the one that was used, the one that asked, and four of those that never did.
+            assertEquals(4, crowd.stream().filter(IdleCloseCrossingTest::isOpenAtCourier).count());
+        } finally {
+            for (final Socket socket : crowd) {
+                socket.close();
+            }
+        }
+    }
 }
