--- a/src/main/java/driftchute/node/CallChannel.java
+++ b/src/main/java/driftchute/node/CallChannel.java
@@ -1,5 +1,6 @@
 package driftchute.node;
 
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -11,7 +12,7 @@
 final class CallChannel extends NioSocketChannel {
     /**
      * True if the other side has closed the connection, or bytes of it lie unread: then the connection is of no more use,
-     * for one of them may be consumed by this. Only between two calls; on the event loop's thread.
+     * for one of them may be consumed by this. Only before the last byte of a call; on the event loop's thread.
      */
     boolean isStale() {
         try {
@@ -21,4 +22,17 @@
             return true;
         }
     }
+
+    /**
+     * Writes a call, or what is left of it, unless the other side has closed or spoken before its last byte: that is no
+     * answer to it (PROTOCOL-irishead.md: an endpoint starts a call once its last byte has arrived). Such a write fails,
+     * and closes the connection.
+     */
+    @Override
+    protected void doWrite(final ChannelOutboundBuffer call) throws Exception {
+        if (isStale()) {
+            throw new IOException("closed, or spoken on, before the last byte of a call");
+        }
+        super.doWrite(call);
+    }
 }
