--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -187,7 +187,7 @@
         final Pool pool = pools.computeIfAbsent(entry.id(), unused -> new Pool(entry, apart, address));
         if (!pool.address.equals(address)) {
             pool.address = address;
-            closeIdle(entry.id());
+            bar(entry.id());
         }
         pool.closing = entry.condition() == Courier.Condition.DRAINING;
         if (pool.closing) {
@@ -206,9 +206,9 @@
     }
 
     /**
-     * An endpoint wants nothing new: its idle connections serve nothing, and what is not written to it yet may not go. A
-     * connection may take far longer to come up than the grace of a drain (PROTOCOL-irishead.md, Figures: a send runs
-     * from its first byte).
+     * An endpoint wants nothing new, or is elsewhere: its idle connections serve nothing, and what is not written to it
+     * yet may not go. A connection may take far longer to come up than the grace of a drain (PROTOCOL-irishead.md,
+     * Figures: a send runs from its first byte).
      */
     void bar(final long endpoint) {
         closeIdle(endpoint);
@@ -550,7 +550,8 @@
                 context.close();
                 return;
             }
-            if (keep && done.written && !done.pool.closing) {
+            final boolean listed = done.pool.address.equals(context.channel().remoteAddress());
+            if (keep && done.written && listed && !done.pool.closing) {
                 idleSinceUs = clock.nowUs();
                 done.pool.idle.addLast(this);
             } else {
--- a/src/test/java/driftchute/node/CallConnectionTest.java
+++ b/src/test/java/driftchute/node/CallConnectionTest.java
@@ -134,6 +134,42 @@
         courier.tell(43, "moved", Rig.host("e1", rig.second, "Ready"));
     }
 
+    /** First a call, whole, then another address: its answer counts, and its connection serves no further call. */
+    @Test
+    void aConnectionToAnEarlierAddressIsNotKept() throws Exception {
+        rig.first.script((request, connection) -> { });
+        courier.start();
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        move();
+        connection.answer(200, "");
+        rig.await("its delivery", () -> courier.isOver("m1"));
+        courier.onLoop(() -> {
+            courier.holdForRest();
+            courier.offer("m2", "once");
+            return null;
+        });
+        rig.await("the next call", () -> calls() == 2);
+        assertEquals(1, rig.second.requests.size());
+        rig.await("the end of the connection", () -> connection.ended);
+        assertEquals(List.of(), rig.notices);
+    }
+
+    /** First a call that connects, then another address: it goes there. */
+    @Test
+    void aCallThatStillConnectsToAnEarlierAddressGoesToTheNewOne() throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        courier.start();
+        rig.first.ignore();
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        rig.await("the connect", () -> HostOnLoop.connecting(rig.first) == 1);
+        move();
+        rig.first.listen();
+        rig.await("the call", () -> calls() == 1);
+        assertEquals(1, rig.second.requests.size());
+        rig.await("its delivery", () -> courier.isOver("m1"));
+    }
+
     // ---------------------------------------------------------------- another process
 
     // ---------------------------------------------------------------- before a call's last byte
