--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -350,12 +350,12 @@
         if (call.channel != null) {
             call.channel.close();
         }
+        final long waitUs = call.reader == null ? 0 : call.reader.waitOf(call);
+        told(call, waitUs);
         if (call.reader != null && call.reader.isDelivered(call)) {
             tell(call, call.reader.delivered());
             return;
         }
-        final long waitUs = call.reader == null ? 0 : call.reader.waitOf(call);
-        told(call, waitUs);
         final Result sure = call.written || result == Result.NOT_SENT ? result : neverWritten(result);
         tell(call, new Answer(sure, false, waitUs, null));
     }
--- /dev/null
+++ b/src/test/java/driftchute/node/CallWaitTest.java
@@ -0,0 +1,83 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A wait that an answer tells, as another call to that destination is decided, connects or is about to be written. */
+@Timeout(120)
+final class CallWaitTest {
+    private static final long NEVER_US = 100_000_000;
+    private static final long SHORT_US = 2_000_000;
+    /** A call may arrive for 100 ms after the answer that tells a wait (PROTOCOL-irishead.md, The rules on sockets). */
+    private static final long GRACE_US = 100_000;
+    private static final String WAIT = "Retry-After: 600";
+    private static final String REFUSAL = "HTTP/1.1 429 X\r\n" + WAIT + "\r\nContent-Length: 0\r\n\r\n";
+
+    @TempDir
+    private Path folder;
+    private HostOnLoop courier;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        courier = new HostOnLoop(folder);
+        rig = courier.rig;
+        rig.first.script((request, connection) -> { });
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        courier.close();
+    }
+
+    /** One message a call, so that two handed in together make two. */
+    private static String alone(final String text) {
+        return text.replace("\"per_call\":[5]", "\"per_call\":[1]");
+    }
+
+    /** Makes a call to an endpoint to which no further connection comes up, and one that waits for such a connection. */
+    private FakeServer.Connection callBesideOneThatConnects(final long lifeUs) throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        courier.start(CallWaitTest::alone);
+        courier.offerSoon("m1", "once", lifeUs);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        rig.first.ignore();
+        courier.offerSoon("m2", "once", HostOnLoop.LIFE_US);
+        rig.await("the other one's connect", () -> HostOnLoop.connecting(rig.first) == 1);
+        return connection;
+    }
+
+    /** First the head of a delivery that tells a wait, then the message's end: the wait binds what connects. */
+    @Test
+    void theWaitOfADeliveryThatItsMessagesEndCutsOffHoldsBackWhatConnects() throws Exception {
+        final FakeServer.Connection connection = callBesideOneThatConnects(2 * SHORT_US);
+        final long endUs = courier.clock.nowUs() + 2 * SHORT_US;
+        courier.onLoop(() -> {
+            HostOnLoop.hold(() -> courier.clock.nowUs() >= endUs);
+            connection.write("HTTP/1.1 200 OK\r\n" + WAIT + "\r\nContent-Length: 5\r\n\r\nab");
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+            return null;
+        });
+        rig.await("its delivery", () -> courier.isOver("m1"));
+        assertFalse(courier.isCalling(), "the other one's connect ends as the wait is told");
+        assertEquals(List.of(), rig.notices);
+    }
+
+    private void assertThatTheOtherOneIsHeldBack() {
+        rig.await("the refusal", () -> courier.isOnLoop(() -> !courier.held("m1").isOut()));
+        assertTrue(courier.isOnLoop(() -> courier.held("m2").attempts() == 0),
+                "a call was begun more than the grace after the wait was told");
+    }
+}
