--- a/src/main/java/driftchute/node/CallChannel.java
+++ b/src/main/java/driftchute/node/CallChannel.java
@@ -23,6 +23,16 @@
         }
     }
 
+    /**
+     * Reads what has come by now, and lets it be handled, before the loop's next turn would. On the event loop's thread,
+     * and not while this connection is being read.
+     */
+    void readNow() {
+        if (isActive()) {
+            unsafe().read();
+        }
+    }
+
     /**
      * Writes a call, or what is left of it, unless the other side has closed or spoken before its last byte: that is no
      * answer to it (PROTOCOL-irishead.md: an endpoint starts a call once its last byte has arrived). Such a write fails,
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -348,6 +348,10 @@
      * of a message can meet this one.
      */
     void abandon(final Call call, final Result result) {
+        if (call.written && calls.contains(call)) {
+            // Its answer may lie there: closed unread, it would take along a delivery, or a wait that binds.
+            call.reader.readNow();
+        }
         final boolean known = remove(call);
         if (!known && call.started) {
             return;
@@ -457,6 +461,10 @@
             return ((CallChannel) context.channel()).isStale();
         }
 
+        private void readNow() {
+            ((CallChannel) context.channel()).readNow();
+        }
+
         private void close() {
             if (call == null) {
                 unpool();
--- a/src/test/java/driftchute/node/CallWaitTest.java
+++ b/src/test/java/driftchute/node/CallWaitTest.java
@@ -92,6 +92,37 @@
         assertFalse(courier.isCalling(), "the other one's connect ends as the wait is told");
     }
 
+    /**
+     * First the answer, then the end of its call, in one turn and before the loop has read it: the answer counts. A
+     * turn reads first and then does what is due, one thing after the other.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {REFUSAL, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"})
+    void anAnswerThatLiesUnreadAsItsCallIsGivenUpCounts(final String answer) throws Exception {
+        courier.start(CallWaitTest::alone);
+        final long endUs = courier.onLoop(() -> {
+            courier.offer("m1", "once", SHORT_US, new byte[] {1});
+            return courier.clock.nowUs() + SHORT_US;
+        });
+        final FakeServer.Connection connection = courier.call(0).connection();
+        // The next turn begins with both due, this and the call's end, in this order.
+        courier.at(endUs - 60_000, () -> HostOnLoop.hold(() -> courier.clock.nowUs() > endUs));
+        courier.at(endUs - 30_000, () -> {
+            connection.write(answer);
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+        });
+        rig.await("its end", () -> courier.isOver("m1") || !rig.notices.isEmpty());
+        if (answer.equals(REFUSAL)) {
+            rig.await("its notice", () -> rig.noticed("m1", "deferred") || rig.noticed("m1", "undeliverable"));
+            assertTrue(rig.noticed("m1", "deferred"), "it was turned away, and has not run: " + rig.notices);
+            courier.offerSoon("m2", "safe", SHORT_US);
+            rig.await("its end without a call", () -> rig.noticed("m2", "deferred"));
+            assertEquals(1, rig.first.requests.size());
+        } else {
+            assertEquals(List.of(), rig.notices);
+        }
+    }
+
     private void assertThatTheOtherOneIsHeldBack() {
         rig.await("the refusal", () -> courier.isOnLoop(() -> !courier.held("m1").isOut()));
         assertTrue(courier.isOnLoop(() -> courier.held("m2").attempts() == 0),
