--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -99,7 +99,7 @@
     void open() throws IOException {
         Files.createDirectories(folder);
         for (int number = 0; number < MOST_FILES; number++) {
-            final Path next = folder.resolve(number == 0 ? FILE : FILE + "." + number);
+            final Path next = numbered(number);
             final Lock nextLock = new Lock(folder.resolve(next.getFileName() + ".lock"));
             if (path == null && nextLock.take()) {
                 path = next;
@@ -115,6 +115,7 @@
         }
         // A kill in the middle of a compaction leaves this; the old file is still the whole truth.
         Files.deleteIfExists(nextPath());
+        removeUnfinished();
         if (predecessors.isEmpty() && !Files.exists(path)) {
             Log.event("journal_begun", "msg", "no journal in " + folder + ": nothing is owed from before (a first start,"
                     + " or a power loss, after which the folder is empty)");
@@ -123,6 +124,20 @@
         load();
     }
 
+    private Path numbered(final int number) {
+        return folder.resolve(number == 0 ? FILE : FILE + "." + number);
+    }
+
+    /** Removes what a kill left of other processes' compactions: what has no journal beside it any more is nobody's. */
+    private void removeUnfinished() throws IOException {
+        for (int number = 0; number < MOST_FILES; number++) {
+            final Path one = numbered(number);
+            if (!one.equals(path) && !Files.exists(one)) {
+                Files.deleteIfExists(nextOf(one));
+            }
+        }
+    }
+
     /**
      * Keeps what follows a record that failed its check in {@code journal.bad}, for an operator to look at, as far as
      * the folder's bound leaves room beside a compaction's file; the result names the copy, or why there is none.
@@ -153,7 +168,11 @@
     }
 
     private Path nextPath() {
-        return path.resolveSibling(path.getFileName() + NEXT);
+        return nextOf(path);
+    }
+
+    private static Path nextOf(final Path journal) {
+        return journal.resolveSibling(journal.getFileName() + NEXT);
     }
 
     private void load() throws IOException {
@@ -214,6 +233,7 @@
                 if (predecessor.isGone() && !behind) {
                     predecessor.remove();
                     predecessors.remove(predecessor);
+                    removeUnfinished();
                 }
             } catch (final IOException e) {
                 Log.info("journal: cannot read an earlier process's: " + e.getMessage());
@@ -487,6 +507,7 @@
             Files.move(next, path, StandardCopyOption.ATOMIC_MOVE);
         } catch (final IOException e) {
             fresh.close();
+            Files.deleteIfExists(next);
             throw e;
         }
         file.close();
--- /dev/null
+++ b/src/test/java/driftchute/node/JournalCrossingTest.java
@@ -0,0 +1,154 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.FileInputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+/** What crosses a journal's writes: a kill in a compaction, the limit of descriptors, an id that comes again, a check. */
+final class JournalCrossingTest {
+    private static final long DISK_BYTES = 100_000;
+    private static final String NEXT = ".next";
+
+    @TempDir
+    private Path folder;
+
+    private static Held held(final String id, final int bytes) {
+        return new Held(id, "keyed", "key-" + id, 7, 5_000_000, new byte[bytes]);
+    }
+
+    private static List<String> ids(final Journal journal) {
+        return journal.live().stream().map(one -> one.id).toList();
+    }
+
+    private List<String> names() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(file -> file.getFileName().toString()).filter(name -> !name.endsWith(".lock")).sorted()
+                    .toList();
+        }
+    }
+
+    /** Bytes on disk, as the platform counts them (DEPLOY-irishead.md). */
+    private long used() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.mapToLong(file -> (file.toFile().length() + 511) / 512 * 512).sum();
+        }
+    }
+
+    // ---------------------------------------------------------------- a kill in a compaction
+
+    /** An earlier process was killed as it wrote its file anew, and the next one beside it too; both files were of use. */
+    @Test
+    void whatAKillLeavesOfAnyProcessesCompactionIsRemovedWithItsJournal() throws IOException {
+        try (Journal old = Journal.open(folder, DISK_BYTES); Journal next = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(old.take(held("first", 50)) && next.take(held("second", 50)));
+        }
+        Files.write(folder.resolve("journal" + NEXT), new byte[20_000]);
+        Files.write(folder.resolve("journal.1" + NEXT), new byte[20_000]);
+        try (Journal third = Journal.open(folder, DISK_BYTES)) {
+            assertEquals(List.of("second"), third.poll().mine().stream().map(one -> one.id).toList());
+            assertFalse(third.hasPredecessors());
+            assertEquals(List.of("first", "second"), ids(third));
+            assertEquals(List.of("journal"), names());
+        }
+    }
+
+    /** The same where the release before has removed the journal already, and left this. */
+    @Test
+    void whatAKillLeftOfACompactionWithNoJournalBesideItIsRemovedAtTheStart() throws IOException {
+        Files.write(folder.resolve("journal.2" + NEXT), new byte[20_000]);
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            assertFalse(journal.hasPredecessors());
+            assertEquals(List.of("journal"), names());
+        }
+    }
+
+    /** The other order: the next process starts while the earlier one lives, and has written its file anew before. */
+    @Test
+    void aJournalThatIsInUseIsLeftAsItIs() throws IOException {
+        try (Journal old = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(old.take(held("out", 50)));
+            assertTrue(old.begin(old.live().iterator().next(), 1000, "a"));
+            old.leave(List.of());
+            try (Journal next = Journal.open(folder, DISK_BYTES)) {
+                next.poll();
+                assertEquals(List.of("journal", "journal.1"), names());
+                assertTrue(next.hasPredecessors());
+            }
+        }
+    }
+
+    /** A compaction that fails leaves nothing that takes room. */
+    @Test
+    void whatACompactionThatFailsHasWrittenIsRemoved() throws IOException {
+        try (Journal journal = Journal.open(folder, DISK_BYTES)) {
+            final Held staying = held("staying", 20_000);
+            assertTrue(journal.take(staying));
+            final Path file = folder.resolve("journal");
+            final Path aside = Files.move(file, folder.resolve("aside"));
+            Files.createDirectories(file.resolve("in-the-way"));
+            while (journal.begin(staying, 1000, "zone".repeat(500))) {
+                journal.settle(staying, true);
+            }
+            assertEquals(List.of("aside", "journal"), names(), "with its file in no one's place");
+            Files.delete(file.resolve("in-the-way"));
+            Files.delete(file);
+            Files.move(aside, file);
+            assertTrue(journal.begin(staying, 2000, "b"), "made up for with the next record");
+        }
+        try (Journal next = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(next.live().iterator().next().isOut());
+        }
+    }
+
+    // ---------------------------------------------------------------- room
+
+    /** The earlier process has its share out in calls and the next one fills its own: together they stay inside. */
+    @Test
+    void twoProcessesWithFullStoresStayInsideTheirDisk() throws IOException {
+        long most = 0;
+        try (Journal old = Journal.open(folder, DISK_BYTES)) {
+            for (int count = 0; old.take(held("old" + count, 1000)); count++) {
+                assertTrue(old.begin(List.copyOf(old.live()).get(count), 1000, "a"));
+            }
+            old.leave(List.of());
+            try (Journal next = Journal.open(folder, DISK_BYTES)) {
+                next.poll();
+                for (int count = 0; next.take(held("new" + count, 1000)); count++) {
+                    most = Math.max(most, used());
+                }
+                // Its calls end, one by one, and each is the next one's, which tries it and is told to wait.
+                for (final Held one : old.live()) {
+                    old.settle(one, true);
+                    for (final Held mine : next.poll().mine()) {
+                        for (int attempt = 0; attempt < 8; attempt++) {
+                            assertTrue(next.begin(mine, 2000, "a"));
+                            next.settle(mine, true);
+                            most = Math.max(most, used() + nextBytes());
+                        }
+                    }
+                }
+            }
+        }
+        assertTrue(most <= DISK_BYTES, "used: " + most);
+    }
+
+    /** What a compaction at this moment would write beside the files that are there: all that the newest file owes. */
+    private long nextBytes() throws IOException {
+        try (var file = java.nio.channels.FileChannel.open(folder.resolve("journal.1"))) {
+            final JournalReader reader = new JournalReader(file);
+            reader.read();
+            return reader.live().values().stream().mapToLong(one -> one.body().length + 50L).sum();
+        }
+    }
+}
