--- a/src/main/java/driftchute/node/Discovery.java
+++ b/src/main/java/driftchute/node/Discovery.java
@@ -135,6 +135,7 @@
                     && config.settings().kinds().get(endpoint.kind()).routesApart();
             host.endpoints().listed(endpoint, apart, entry.dial());
         }
+        host.told(list, update, from);
         Log.event("list", "update", update.name().toLowerCase(Locale.ROOT), "seq", list.path("seq").asLong(), "after",
                 watches.version(), "entries", entries.size(), "unready", unready(list), "from", String.valueOf(from));
         host.list(update, entries.stream().map(Entry::endpoint).toList());
@@ -163,7 +164,7 @@
     private Entry entry(final JsonNode node) {
         final Courier.Endpoint endpoint = endpoint(node);
         return new Entry(endpoint, endpoint.condition() == Courier.Condition.GONE ? null
-                : Config.address("dial", node.path("dial").asText()));
+                : Config.remote("dial", node.path("dial").asText()));
     }
 
     private Courier.Endpoint endpoint(final JsonNode node) {
--- a/src/main/java/driftchute/node/Endpoints.java
+++ b/src/main/java/driftchute/node/Endpoints.java
@@ -73,7 +73,7 @@
     private static final long ANSWER_MS = 500;
     /** What belongs to no call may still come right behind an answer; a connection rests so long before its next. */
     private static final long REST_US = 5_000;
-    /** Before a call asks for a descriptor again. */
+    /** Before a call asks again for a descriptor, or whether it may be written. */
     private static final long ROOM_US = 20_000;
     /** A number as an answer may tell it: no sign, no exponent, no word. */
     private static final Pattern NUMBER = Pattern.compile("\\d{1,12}(\\.\\d{1,18})?");
@@ -94,6 +94,7 @@
     private final Map<Long, Pool> pools = new HashMap<>();
     private final Set<Call> calls = new HashSet<>();
     private int connections;
+    private boolean keepsNone;
 
     /** How a message fared in a call. {@code waitUs}: what the answer told to wait, or 0. */
     record Answer(Result result, boolean over, long waitUs, Courier.Allowance allowance) { }
@@ -136,6 +137,11 @@
             this.apart = apart;
             this.address = address;
         }
+
+        /** True if a wait told there holds for the other one; what leaves the list and comes back is the same endpoint. */
+        private boolean binds(final Pool other) {
+            return apart ? endpoint == other.endpoint : destination == other.destination;
+        }
     }
 
     /**
@@ -177,6 +183,12 @@
             return parcels;
         }
 
+        /** True if nothing in it has ever been called, as far as is recorded: it loses nothing but time by waiting. */
+        private boolean isUntried() {
+            return parcels.stream().map(parcel -> parcel.open().held)
+                    .allMatch(held -> held.firstRunWallUs() == Held.NEVER && !held.isOut());
+        }
+
         private boolean isBulk() {
             return parcels.size() > 1;
         }
@@ -187,7 +199,7 @@
         final Pool pool = pools.computeIfAbsent(entry.id(), unused -> new Pool(entry, apart, address));
         if (!pool.address.equals(address)) {
             pool.address = address;
-            closeIdle(entry.id());
+            bar(entry.id());
         }
         pool.closing = entry.condition() == Courier.Condition.DRAINING;
         if (pool.closing) {
@@ -206,9 +218,9 @@
     }
 
     /**
-     * An endpoint wants nothing new: its idle connections serve nothing, and what is not written to it yet may not go. A
-     * connection may take far longer to come up than the grace of a drain (PROTOCOL-irishead.md, Figures: a send runs
-     * from its first byte).
+     * An endpoint wants nothing new, or is elsewhere: its idle connections serve nothing, and what is not written to it
+     * yet may not go. A connection may take far longer to come up than the grace of a drain (PROTOCOL-irishead.md,
+     * Figures: a send runs from its first byte).
      */
     void bar(final long endpoint) {
         closeIdle(endpoint);
@@ -229,8 +241,9 @@
                 .filter(reader -> reader.idleSinceUs <= beforeUs).forEach(Reader::close));
     }
 
-    /** Nothing more is begun here. */
+    /** Nothing more is begun here: no connection is kept from now on. */
     void closeAllIdle() {
+        keepsNone = true;
         pools.values().forEach(pool -> List.copyOf(pool.idle).forEach(Reader::close));
     }
 
@@ -322,14 +335,19 @@
             if (!calls.contains(call)) {
                 connecting.channel().close();
             } else if (done.isSuccess()) {
-                connecting.channel().pipeline().get(Reader.class).write(call);
+                final Reader reader = connecting.channel().pipeline().get(Reader.class);
+                reader.idleSinceUs = clock.nowUs();
+                reader.write(call);
             } else {
                 abandon(call, Result.NO_CONNECTION);
             }
         });
     }
 
-    /** A call for which no descriptor is free comes again, for as long as a connection may take to come up. */
+    /**
+     * A call for which no descriptor is free, or that may not be written now, comes again, for as long as a connection may
+     * take to come up: not sent, each of its messages would lose one of its attempts.
+     */
     private void waitForRoom(final Call call) {
         if (clock.nowUs() + ROOM_US < call.sentUs + connectTimeoutUs) {
             later(call, ROOM_US, () -> dispatch(call));
@@ -343,6 +361,10 @@
      * of a message can meet this one.
      */
     void abandon(final Call call, final Result result) {
+        if (call.written && calls.contains(call)) {
+            // Its answer may lie there: closed unread, it would take along a delivery, or a wait that binds.
+            call.reader.readNow();
+        }
         final boolean known = remove(call);
         if (!known && call.started) {
             return;
@@ -350,12 +372,12 @@
         if (call.channel != null) {
             call.channel.close();
         }
+        final long waitUs = call.reader == null ? 0 : call.reader.waitOf(call);
+        told(call, waitUs);
         if (call.reader != null && call.reader.isDelivered(call)) {
             tell(call, call.reader.delivered());
             return;
         }
-        final long waitUs = call.reader == null ? 0 : call.reader.waitOf(call);
-        told(call, waitUs);
         final Result sure = call.written || result == Result.NOT_SENT ? result : neverWritten(result);
         tell(call, new Answer(sure, false, waitUs, null));
     }
@@ -383,7 +405,16 @@
     }
 
     private void holdBack(final Pool told) {
-        abandonUnwritten(call -> told.apart ? call.pool == told : call.pool.destination == told.destination);
+        abandonUnwritten(call -> told.binds(call.pool));
+    }
+
+    /**
+     * Reads what has come for the calls that are out there: decisions take time, in which an answer may have told a wait
+     * that holds for a call which is about to be written.
+     */
+    private void hear(final Pool pool) {
+        List.copyOf(calls).stream().filter(call -> call.written && calls.contains(call) && call.pool.binds(pool))
+                .forEach(call -> call.reader.readNow());
     }
 
     /** True while calls are out. */
@@ -427,10 +458,18 @@
         }
 
         private void write(final Call next) {
-            if (!calls.contains(next) || !host.mayWrite(next)) {
+            hear(next.pool);
+            // A turn reads its sockets first: the timer that ends the call may be due as well.
+            final boolean late = next.deadlineUs <= clock.nowUs();
+            if (late || !calls.contains(next) || !host.mayWrite(next)) {
+                if (!late && calls.contains(next) && next.isUntried()) {
+                    next.pool.idle.addLast(this);
+                    waitForRoom(next);
+                    return;
+                }
                 // The connection has not served: nothing of it is kept.
                 context.close();
-                loop.execute(() -> abandon(next, Result.NOT_SENT));
+                loop.execute(() -> abandon(next, late ? Result.TIMED_OUT : Result.NOT_SENT));
                 return;
             }
             call = next;
@@ -450,6 +489,10 @@
             return ((CallChannel) context.channel()).isStale();
         }
 
+        private void readNow() {
+            ((CallChannel) context.channel()).readNow();
+        }
+
         private void close() {
             if (call == null) {
                 unpool();
@@ -548,7 +591,8 @@
                 context.close();
                 return;
             }
-            if (keep && done.written && !done.pool.closing) {
+            final boolean listed = done.pool.address.equals(context.channel().remoteAddress());
+            if (keep && done.written && listed && !done.pool.closing && !keepsNone) {
                 idleSinceUs = clock.nowUs();
                 done.pool.idle.addLast(this);
             } else {
@@ -587,7 +631,10 @@
             }
         }
 
-        /** Several messages' ends, each with its state; one that is not named may have run. */
+        /**
+         * Several messages' ends, each with its state; one that is not named may have run. So may what was accepted when
+         * the time of one of them was up: the call was to be given up by then, and is not counted as answered.
+         */
         private void tellEach(final Call done, final Answer all) {
             final Map<String, String> states = new HashMap<>();
             try {
@@ -599,9 +646,12 @@
                 // Spoilt: each of them may have run.
                 states.clear();
             }
+            final long nowUs = clock.nowUs();
+            final boolean late = done.parcels.stream().anyMatch(parcel -> parcel.open().validUntilUs <= nowUs);
             for (final Host.Parcel parcel : done.parcels) {
                 final Answer one = switch (states.getOrDefault(parcel.open().held.id, UNREADABLE)) {
-                    case "accepted" -> new Answer(Result.DELIVERED, true, all.waitUs(), all.allowance());
+                    case "accepted" -> new Answer(late ? Result.TIMED_OUT : Result.DELIVERED, !late, all.waitUs(),
+                            all.allowance());
                     case "deferred" -> new Answer(Result.REFUSED, false, all.waitUs(), all.allowance());
                     case "expired" -> new Answer(Result.NOT_SENT, true, all.waitUs(), all.allowance());
                     case "no_more" -> new Answer(Result.NOT_SENT, false, all.waitUs(), all.allowance());
--- a/src/main/java/driftchute/node/Host.java
+++ b/src/main/java/driftchute/node/Host.java
@@ -1,10 +1,12 @@
 package driftchute.node;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import driftchute.Control;
 import driftchute.Courier;
 import driftchute.node.fleet.FleetLink;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -44,6 +46,11 @@
     private static final long REPORT_MS = 100;
     /** Share of a key's window after which no repeat is written: the rest is for its way. */
     private static final double KEY_SHARE = 0.95;
+    /**
+     * Messages that are taken up in one turn of the loop, with one pass of the decisions: all at once would keep clients
+     * waiting for as long as the first pass over a full store takes, on code that has not run yet.
+     */
+    private static final int TAKEN_UP_AT_ONCE = 32;
     /** Share of the store that makes a pile. */
     private static final double PILE_SHARE = 0.1;
 
@@ -62,6 +69,8 @@
     /** A message that is owed its end. */
     static final class Open {
         final Held held;
+        /** An earlier process took it on; the promise to its client is that one's. */
+        private final boolean resumed;
         final Courier.MessageClass kind;
         final long validUntilUs;
         /** Where its first answer goes; null once that is given. */
@@ -71,6 +80,7 @@
 
         Open(final Held held, final Courier.MessageClass kind, final long validUntilUs, final Reply reply) {
             this.held = held;
+            this.resumed = reply == null;
             this.kind = kind;
             this.validUntilUs = validUntilUs;
             this.reply = reply;
@@ -88,12 +98,18 @@
     private final Control control;
     private final Endpoints endpoints;
     private final Discovery discovery;
+    private final KnownList knownList;
     private final Notices notices;
     private final Map<String, Open> messages = new LinkedHashMap<>();
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<Long, List<Parcel>> outbox = new LinkedHashMap<>();
     private final List<Open> unanswered = new ArrayList<>();
+    /** What earlier processes took on and the decisions have not been told of yet, by id, in the order taken. */
+    private final Map<String, Held> untold = new LinkedHashMap<>();
     private boolean passDue;
+    private InetSocketAddress discoveryAt;
+    /** Discovery has told of its list, or cannot be asked: what is known of it is gone by. */
+    private boolean confirmed;
     /** Another process decides and sends now; this one ends the calls that are out. */
     private boolean leaving;
     private ScheduledFuture<?> following;
@@ -101,7 +117,7 @@
     private FleetLink fleet;
     private final AtomicBoolean viewDue = new AtomicBoolean();
     /** What earlier processes learnt of destinations that the list does not name yet. */
-    private final Map<Long, Courier.Memory> untold = new HashMap<>();
+    private final Map<Long, Courier.Memory> unlisted = new HashMap<>();
     /** The end of the latest wait of each destination that was taken over from them. */
     private final Map<Long, Long> waitsTakenUs = new HashMap<>();
     /** Until when the earlier process counts as heard. */
@@ -125,13 +141,15 @@
         this.control = new Control(config.settings(), config.seed(), this);
         this.endpoints = new Endpoints(config, loop, clock, this);
         this.discovery = new Discovery(config, loop, clock, this);
+        this.discoveryAt = config.discovery();
+        this.knownList = new KnownList(config.state(), config.diskBytes());
         this.notices = new Notices(config.discovery(), loop, this);
         config.settings().classes().forEach(kind -> classes.put(kind.name(), classes.size()));
     }
 
     /** Begins to follow the list: nothing else is done before this process takes the place of the one before. */
     void start() {
-        discovery.restore(config.known());
+        discovery.restore(knownList.newest(config.known(), discoveryAt));
         loop.scheduleWithFixedDelay(this::lookUp, HEED_MS, HEED_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::tell, STATUS_MS, STATUS_MS, TimeUnit.MILLISECONDS);
         touch();
@@ -139,14 +157,18 @@
 
     /** From now on this process decides, records and sends; first it takes up what earlier ones held. */
     void takeUp() throws IOException {
+        catchUp();
+        knownList.keep();
         journal.open();
         final Journal.News news = journal.poll();
         news.over().forEach(journal::over);
         remember(news.memories());
         hear();
-        journal.live().forEach(this::resume);
-        if (!messages.isEmpty()) {
-            Log.event("resumed", "msg", "resumed " + messages.size() + " messages", "messages", messages.size());
+        journal.live().forEach(held -> untold.put(held.id, held));
+        final long resumed = untold.values().stream()
+                .filter(held -> held.notice() == null && classes.containsKey(held.className)).count();
+        if (resumed > 0) {
+            Log.event("resumed", "msg", "resumed " + resumed + " messages", "messages", resumed);
         }
         if (journal.hasPredecessors()) {
             Log.info("an earlier process still ends its calls");
@@ -154,7 +176,39 @@
                     TimeUnit.MILLISECONDS);
         }
         join();
+        takeUpSome();
+    }
+
+    /** The process before this one may have been told more of the list, and discovery may be silent now. */
+    private void catchUp() {
+        final JsonNode list = knownList.newer(discoveryAt);
+        if (list != null) {
+            final boolean goesBy = confirmed;
+            discovery.restore(list);
+            if (goesBy) {
+                discovery.unchanged();
+            }
+        }
+    }
+
+    /** Tells the decisions of the next messages; the loop looks at its sockets between two turns of this. */
+    private void takeUpSome() {
+        final List<Held> next = untold.values().stream().limit(TAKEN_UP_AT_ONCE).toList();
+        next.forEach(held -> {
+            untold.remove(held.id);
+            resume(held);
+        });
         touch();
+        if (!untold.isEmpty()) {
+            loop.schedule(this::takeUpSome, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Takes up one more, or what has become meanwhile of one that waits for its turn. */
+    private void takeUp(final Held held) {
+        if (untold.replace(held.id, held) == null) {
+            resume(held);
+        }
     }
 
     /** From now on this courier shares what it knows, where it may: only the process that serves does. */
@@ -194,10 +248,10 @@
             return;
         }
         final Journal.News news = journal.poll();
-        news.over().forEach(this::withdraw);
+        news.over().forEach(this::overElsewhere);
         remember(news.memories());
         hear();
-        news.mine().forEach(this::resume);
+        news.mine().forEach(this::takeUp);
         if (!news.mine().isEmpty() || !news.memories().isEmpty()) {
             touch();
         }
@@ -209,6 +263,17 @@
         }
     }
 
+    /**
+     * The earlier process owes nothing for that message any more, and so nor does this one. But what this one took on by
+     * itself under the same id, from a client that came again, it has promised and still owes.
+     */
+    private void overElsewhere(final String id) {
+        final Open open = messages.get(id);
+        if (open == null || open.resumed) {
+            withdraw(id);
+        }
+    }
+
     private void remember(final List<Courier.Memory> memories) {
         final long aheadUs = clock.nowUs() - clock.wallUs();
         memories.forEach(memory -> remember(memory.onClock(aheadUs)));
@@ -217,7 +282,7 @@
     private void remember(final Courier.Memory memory) {
         final long destination = memory.destination();
         if (!discovery.hasEndpoint(destination)) {
-            untold.put(destination, memory);
+            unlisted.put(destination, memory);
         }
         control.onMemory(clock.nowUs(), memory);
         final long leftUs = memory.waitUntilUs() - clock.nowUs();
@@ -250,6 +315,8 @@
      * in which a wait may have come or a key's window have passed; and a process that dies before this has not tried.
      */
     boolean mayWrite(final Endpoints.Call call) {
+        // An order holds once it is in its file; the next pass may come later than this connection did.
+        heed();
         if (call.parcels().isEmpty() || !mayWrite(call.parcels().get(0).open().held.destination)) {
             return false;
         }
@@ -357,7 +424,7 @@
 
     /** Takes a message, if there is room; its reply comes at the end of the pass. */
     void offer(final Held held, final long validUntilUs, final Reply reply) {
-        final int open = leaving ? journal.count() : messages.size();
+        final int open = leaving ? journal.count() : messages.size() + untold.size();
         if (open >= config.settings().limits().maxOpen() || !journal.take(held)) {
             reply.refused(Intake.UNAVAILABLE, FULL_RETRY_US);
             return;
@@ -386,15 +453,21 @@
             forget(open);
             control.onExpired(clock.nowUs(), id);
             touch();
-        } else if (leaving) {
+        } else if (untold.remove(id) != null || leaving) {
             journal.over(id);
         }
     }
 
+    /** A list has come that can be read, from that address; the next process may not know less of it. */
+    void told(final JsonNode list, final Courier.Update update, final InetSocketAddress from) {
+        knownList.told(list, update, from);
+    }
+
     /** The list has changed, or could not be had. */
     void list(final Courier.Update update, final List<Courier.Endpoint> entries) {
+        confirmed = update != Courier.Update.RESTORED;
         control.onList(clock.nowUs(), update, entries);
-        untold.values().removeIf(memory -> {
+        unlisted.values().removeIf(memory -> {
             final boolean named = discovery.hasEndpoint(memory.destination());
             if (named) {
                 control.onMemory(clock.nowUs(), memory.withCallsOut(journal.callsOutElsewhere(memory.destination())));
@@ -598,6 +671,7 @@
         final boolean same = fresh.settings().equals(config.settings()) && fresh.listen().equals(config.listen());
         Log.info("SIGHUP: discovery is at " + fresh.discovery()
                 + (same ? "" : "; what else is new in the configuration counts from the next start"));
+        discoveryAt = fresh.discovery();
         discovery.move(fresh.discovery());
         notices.move(fresh.discovery());
     }
@@ -617,11 +691,14 @@
      */
     void leave() {
         leaving = true;
+        knownList.leave();
         part(false);
         pass();
         // Written later, it would meet waits that the next process is told of and this one is not.
         endpoints.giveBackUnwritten();
         messages.values().removeIf(open -> open.call == null);
+        untold.values().forEach(held -> settle(held, false));
+        untold.clear();
         journal.leave(memories());
         journal.heard(readWallUs);
         readWallUs = clock.wallUs();
@@ -660,6 +737,6 @@
 
     /** True when nothing is under way that the end of the process would cut off. */
     boolean idle() {
-        return messages.isEmpty() && notices.isEmpty();
+        return messages.isEmpty() && untold.isEmpty() && notices.isEmpty();
     }
 }
--- a/src/main/java/driftchute/node/Intake.java
+++ b/src/main/java/driftchute/node/Intake.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -24,7 +25,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -39,9 +39,11 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -92,15 +94,24 @@
     /** For how long a request may have waited to be read, beyond what an end may be late anyway. */
     private static final long WAITED_US = 200_000;
     private static final long GONE_RETRY_US = 500_000;
+    /** For how long after its time an id is not taken on again: by then its last call is surely over. */
+    private static final long TAKEN_US = 1_000_000;
     /** Share of the descriptors for clients. */
     private static final double SOCKET_SHARE = 0.4;
+    /**
+     * The same for a process that leaves: the next one has its whole share for them, and each of the two has a fifth for
+     * calls (Host); together they stay within the courier's sockets (DEPLOY-irishead.md).
+     */
+    private static final double LEAVING_SHARE = 0.15;
 
     private final Config config;
     private final Clock clock;
     private final Host host;
     private final Orders orders;
-    private final int mostConnections;
+    private int mostConnections;
     private final Set<Session> sessions = new HashSet<>();
+    /** Messages that were taken on, by their ids, and until when each of them is not taken on again. */
+    private final Map<String, Long> takenUntilUs = new HashMap<>();
     private int heldBytes;
     private ServerSocketChannel socket;
     private Channel listener;
@@ -150,8 +161,7 @@
                     @Override
                     protected void initChannel(final Channel channel) {
                         final Session session = new Session();
-                        channel.pipeline().addLast(session.decoder, new HttpResponseEncoder(),
-                                new HttpServerExpectContinueHandler(), session);
+                        channel.pipeline().addLast(session.decoder, new HttpResponseEncoder(), session);
                     }
                 }).bind(config.listen());
         listener = bound.channel();
@@ -177,6 +187,11 @@
     void leave() {
         ending = true;
         leaving = true;
+        mostConnections = (int) Math.max(1, LEAVING_SHARE * config.sockets());
+        while (sessions.size() > mostConnections && dropLeastUseful(null)) {
+            // Those in use stay: there are no more of them than clients, which come to the next process one by one.
+            continue;
+        }
     }
 
     /**
@@ -226,6 +241,11 @@
         int idle = 0;
         int incomplete = 0;
         for (final Session session : List.copyOf(sessions)) {
+            if (session.isIdle()) {
+                // What has come meanwhile is answered, but too late to be taken on.
+                session.refusing = true;
+                session.catchUp();
+            }
             if (session.isIdle()) {
                 session.closeIdle();
                 idle++;
@@ -241,11 +261,12 @@
     }
 
     /** Closes what is of no use, and answers what does not come to an end, before anyone has to ask why. */
-    private void sweep() {
+    void sweep() {
         final long nowUs = clock.nowUs();
         drainedSinceUs = isDraining() ? Math.min(drainedSinceUs, nowUs) : Long.MAX_VALUE;
         final long idleUs = idleUs(nowUs);
         tellCrowd(nowUs);
+        takenUntilUs.values().removeIf(untilUs -> untilUs <= nowUs);
         for (final Session session : List.copyOf(sessions)) {
             if (session.askedSinceUs <= nowUs - REQUEST_US && !session.closing) {
                 unfinished++;
@@ -254,7 +275,10 @@
                 session.drop();
             } else if (session.isIdle()
                     && session.idleSinceUs() <= nowUs - (session.hasAsked && !session.refusing ? idleUs : REQUEST_US)) {
-                session.closeIdle();
+                session.catchUp();
+                if (session.isIdle()) {
+                    session.closeIdle();
+                }
             }
         }
     }
@@ -290,10 +314,24 @@
      * failing these, the newest goes.
      */
     private void makeRoom(final Session newest) {
-        if (sessions.size() <= mostConnections) {
-            return;
+        if (sessions.size() > mostConnections && !dropLeastUseful(newest)) {
+            drop(newest);
         }
-        drop(leastUseful(newest).orElse(newest));
+    }
+
+    /** Closes the one that is least useful; false if each is in use, maybe by a request that had not been read yet. */
+    private boolean dropLeastUseful(final Session newest) {
+        for (Optional<Session> least = leastUseful(newest); least.isPresent(); least = leastUseful(newest)) {
+            final boolean wasIdle = least.get().isIdle();
+            if (wasIdle) {
+                least.get().catchUp();
+            }
+            if (least.get().isIdle() == wasIdle) {
+                drop(least.get());
+                return true;
+            }
+        }
+        return false;
     }
 
     /** The one whose close does the least harm, if any is not in use; {@code newest} is none of them. */
@@ -316,9 +354,7 @@
      * more than a client waits for its answer.
      */
     private void acceptFailed(final Throwable cause) {
-        final Optional<Session> least = leastUseful(null);
-        least.ifPresent(this::drop);
-        if (least.isEmpty()) {
+        if (!dropLeastUseful(null)) {
             listener.config().setAutoRead(false);
             listener.eventLoop().schedule(() -> {
                 if (listener.isRegistered()) {
@@ -347,6 +383,8 @@
         private Request current;
         private String currentId;
         private boolean reading;
+        /** Its client waits to be told to send the body (RFC 9110, 10.1.1), and is told so in the request's turn. */
+        private boolean expectsContinue;
         private boolean hasAsked;
         /** What is said to a request that is not read to its end, once all before it is answered. */
         private HttpResponseStatus refusal;
@@ -387,6 +425,16 @@
                     && (askedSinceUs != Long.MAX_VALUE || decoder.mayHaveMore());
         }
 
+        /**
+         * Reads what has come since the loop last looked at its sockets: a close over a request that lies unread would
+         * reset the connection. What comes after this look crosses the close, and is not taken on.
+         */
+        private void catchUp() {
+            if (context.channel().isActive() && context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+                socket.read();
+            }
+        }
+
         private int usefulness(final long idleBeforeUs) {
             if (ended) {
                 return 0;
@@ -501,6 +549,8 @@
                     reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                     return;
                 }
+                expectsContinue = HttpUtil.is100ContinueExpected(request);
+                sayContinue();
             }
             if (part instanceof HttpContent content && reading) {
                 final int more = content.content().readableBytes();
@@ -522,9 +572,19 @@
             }
         }
 
+        /** An interim answer keeps the order too: before an earlier request is answered it would count as that one's. */
+        private void sayContinue() {
+            if (expectsContinue && current == null && queue.isEmpty() && !closing) {
+                expectsContinue = false;
+                context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+                        Unpooled.EMPTY_BUFFER));
+            }
+        }
+
         /** A request has come whole: it takes its turn. */
         private void complete() {
             reading = false;
+            expectsContinue = false;
             hasAsked = true;
             askedSinceUs = Long.MAX_VALUE;
             queue.add(new Request(head, body.toByteArray()));
@@ -547,6 +607,7 @@
                 sayLast();
             }
             if (!ended) {
+                sayContinue();
                 final boolean reads = queue.isEmpty() && channel.isWritable();
                 if (reads && !channel.config().isAutoRead() && askedSinceUs != Long.MAX_VALUE) {
                     // Meanwhile it could not go on.
@@ -605,16 +666,19 @@
                 answer(HttpResponseStatus.NOT_FOUND, 0);
                 return;
             }
-            if (host.holds(id)) {
+            // One that has just ended, or was withdrawn, may have its call still out: nobody could tell the two apart.
+            if (host.holds(id) || takenUntilUs.getOrDefault(id, 0L) > clock.nowUs()) {
                 answer(HttpResponseStatus.CONFLICT, 0);
                 return;
             }
             final long lifeUs = lifeUs(timeoutMs, kind.deadlineUs());
+            final long validUntilUs = clock.nowUs() + lifeUs;
             currentId = id;
             host.offer(new Held(id, kind.name(), key, destination, clock.wallUs() + lifeUs, request.body()),
-                    clock.nowUs() + lifeUs, new Host.Reply() {
+                    validUntilUs, new Host.Reply() {
                         @Override
                         public void accepted() {
+                            takenUntilUs.put(id, validUntilUs + TAKEN_US);
                             // A client that never gets this counts on nothing: its message is withdrawn.
                             answer(HttpResponseStatus.valueOf(ACCEPTED), 0).addListener(done -> {
                                 if (!done.isSuccess()) {
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -74,6 +74,11 @@
     private Lock lock;
     private long fileBytes;
     private FileChannel file;
+    /**
+     * A descriptor that a compaction uses for its file: clients and calls may have all others just then, and what cannot
+     * be recorded can be neither taken on nor tried. It is the folder's; null while there was none to be had.
+     */
+    private FileChannel spare;
     private long size;
     private long liveBytes;
     /** A record could not be written: the file lacks it until what is known here is written anew. */
@@ -99,7 +104,7 @@
     void open() throws IOException {
         Files.createDirectories(folder);
         for (int number = 0; number < MOST_FILES; number++) {
-            final Path next = folder.resolve(number == 0 ? FILE : FILE + "." + number);
+            final Path next = numbered(number);
             final Lock nextLock = new Lock(folder.resolve(next.getFileName() + ".lock"));
             if (path == null && nextLock.take()) {
                 path = next;
@@ -115,12 +120,28 @@
         }
         // A kill in the middle of a compaction leaves this; the old file is still the whole truth.
         Files.deleteIfExists(nextPath());
+        removeUnfinished();
         if (predecessors.isEmpty() && !Files.exists(path)) {
             Log.event("journal_begun", "msg", "no journal in " + folder + ": nothing is owed from before (a first start,"
                     + " or a power loss, after which the folder is empty)");
         }
         file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         load();
+        keepSpare();
+    }
+
+    private Path numbered(final int number) {
+        return folder.resolve(number == 0 ? FILE : FILE + "." + number);
+    }
+
+    /** Removes what a kill left of other processes' compactions: what has no journal beside it any more is nobody's. */
+    private void removeUnfinished() throws IOException {
+        for (int number = 0; number < MOST_FILES; number++) {
+            final Path one = numbered(number);
+            if (!one.equals(path) && !Files.exists(one)) {
+                Files.deleteIfExists(nextOf(one));
+            }
+        }
     }
 
     /**
@@ -153,7 +174,11 @@
     }
 
     private Path nextPath() {
-        return path.resolveSibling(path.getFileName() + NEXT);
+        return nextOf(path);
+    }
+
+    private static Path nextOf(final Path journal) {
+        return journal.resolveSibling(journal.getFileName() + NEXT);
     }
 
     private void load() throws IOException {
@@ -214,6 +239,7 @@
                 if (predecessor.isGone() && !behind) {
                     predecessor.remove();
                     predecessors.remove(predecessor);
+                    removeUnfinished();
                 }
             } catch (final IOException e) {
                 Log.info("journal: cannot read an earlier process's: " + e.getMessage());
@@ -301,9 +327,9 @@
         return live.size();
     }
 
-    /** True while an end or a notice is owed for a message of that id. */
+    /** True while an end or a notice is owed for a message of that id, here or by an earlier process with its call out. */
     boolean holds(final String id) {
-        return live.containsKey(id);
+        return live.containsKey(id) || predecessors.stream().anyMatch(predecessor -> predecessor.holds(id));
     }
 
     /** Records a message that is taken on; false, and nothing taken, if there is no room for it. */
@@ -361,8 +387,25 @@
         }
     }
 
+    private void keepSpare() {
+        try {
+            spare = FileChannel.open(folder, StandardOpenOption.READ);
+        } catch (final IOException e) {
+            // The next compaction goes without, and says so if it fails.
+            spare = null;
+        }
+    }
+
+    private void useSpare() throws IOException {
+        if (spare != null) {
+            spare.close();
+            spare = null;
+        }
+    }
+
     @Override
     public void close() throws IOException {
+        useSpare();
         file.close();
         lock.close();
     }
@@ -467,8 +510,17 @@
         }
     }
 
-    /** Writes what is owed to a new file and puts it in the place of the old one in one step. */
     private void compact() throws IOException {
+        useSpare();
+        try {
+            writeAnew();
+        } finally {
+            keepSpare();
+        }
+    }
+
+    /** Writes what is owed to a new file and puts it in the place of the old one in one step. */
+    private void writeAnew() throws IOException {
         final Path next = nextPath();
         final FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE,
                 StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.READ, StandardOpenOption.WRITE);
@@ -481,11 +533,13 @@
                 }
             }
             for (final String id : ended) {
-                written = copy(fresh, record(OVER, id, out -> { }), written);
+                // One of that id may have been taken on anew: it is owed.
+                written = live.containsKey(id) ? written : copy(fresh, record(OVER, id, out -> { }), written);
             }
             Files.move(next, path, StandardCopyOption.ATOMIC_MOVE);
         } catch (final IOException e) {
             fresh.close();
+            Files.deleteIfExists(next);
             throw e;
         }
         file.close();
--- a/src/main/java/driftchute/node/Predecessor.java
+++ b/src/main/java/driftchute/node/Predecessor.java
@@ -15,6 +15,8 @@
  * process is gone.
  */
 final class Predecessor {
+    /** Ends the name of the file that a compaction writes ({@link Journal}). */
+    private static final String NEXT = ".next";
     private final Path path;
     private final Lock lock;
     private final FileChannel file;
@@ -50,6 +52,11 @@
         return news;
     }
 
+    /** True while its file says that a message of that id is owed an end, whoever goes on with it. */
+    boolean holds(final String id) {
+        return reader.live().containsKey(id);
+    }
+
     /** Calls that it has out at a destination; none once it is gone. */
     int callsOut(final long destination) {
         return gone ? 0 : callsOut.getOrDefault(destination, 0);
@@ -68,6 +75,8 @@
     /** Nothing in it is owed any more. */
     void remove() throws IOException {
         file.close();
+        // What a kill in its compaction left; first, since nobody would look for it without the file itself.
+        Files.deleteIfExists(path.resolveSibling(path.getFileName() + NEXT));
         Files.deleteIfExists(path);
         lock.close();
     }
--- /dev/null
+++ b/src/test/java/driftchute/node/CallNotSentTest.java
@@ -0,0 +1,170 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Calls that wait for something, and what may cross them there. */
+@Timeout(120)
+final class CallNotSentTest {
+    private static final long NEVER_US = 100_000_000;
+    /** Enough to share a call, by what one is expected to take. */
+    private static final long SHORT_US = 7_000_000;
+    /** Many times what a call that may not be written takes to be decided again. */
+    private static final long FAULT_US = 300_000;
+
+    @TempDir
+    private Path folder;
+    private HostOnLoop courier;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        courier = new HostOnLoop(folder);
+        rig = courier.rig;
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        courier.close();
+    }
+
+    private int calls() {
+        return rig.first.requests.size() + rig.second.requests.size();
+    }
+
+    /** The state folder takes nothing for a while: a message that has not run loses neither its attempts nor its end. */
+    @Test
+    void aCallThatCannotBeRecordedGoesOnceItCan() throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        rig.hosts = Rig.host("e1", rig.first, "Terminating");
+        courier.start();
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        // The file is gone, and a folder stands where the one that takes its place would be.
+        final Path blocked = courier.state.resolve("journal.next");
+        courier.onLoop(() -> {
+            Files.createDirectory(blocked);
+            courier.journal.close();
+            return null;
+        });
+        rig.change(43, Rig.host("e1", rig.first, "Ready"));
+        rig.await("the call's connection", () -> !rig.first.connections.isEmpty());
+        final CountDownLatch mended = new CountDownLatch(1);
+        courier.at(courier.clock.nowUs() + FAULT_US, mended::countDown);
+        assertTrue(mended.await(Rig.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(0, rig.first.requests.size());
+        Files.delete(blocked);
+        rig.await("its delivery", () -> courier.isOver("m1") || !rig.notices.isEmpty());
+        assertEquals(List.of(), rig.notices);
+        assertEquals(1, rig.first.requests.size());
+    }
+
+    /** A call waits for the rest of a kept connection as a drain is told: it goes elsewhere. */
+    @Test
+    void aCallThatWaitsForARestAsADrainIsToldGoesElsewhere() throws Exception {
+        rig.first.script((request, connection) -> { });
+        courier.start(text -> text.replace("\"calls_out\":12", "\"calls_out\":1"));
+        courier.offerSoon("m0", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        courier.onLoop(() -> {
+            // It waits for the one slot, and so goes in the pass behind that answer.
+            courier.offer("m1", "once");
+            connection.answer(200, "");
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+            courier.at(courier.clock.nowUs(), () -> {
+                assertTrue(courier.host.endpoints().isCalling());
+                rig.change(43, Rig.host("e1", rig.first, "Terminating") + "," + Rig.host("e2", rig.second, "Ready"));
+                HostOnLoop.hold(() -> HostOnLoop.hasCome("the list", rig.platform, rig.watches.get(0)));
+                courier.holdForRest();
+            });
+            return null;
+        });
+        rig.await("its call", () -> calls() == 2);
+        assertEquals(1, rig.second.requests.size());
+        rig.await("its delivery", () -> courier.isOver("m1"));
+        assertEquals(List.of(), rig.notices);
+    }
+
+    /** A call waits for a descriptor; where a drain is told meanwhile, it goes elsewhere once there is one. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aCallThatWaitsForADescriptorAsADrainIsToldGoesElsewhere(final boolean drained) throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        // One connection to endpoints.
+        rig.sockets = 2;
+        rig.first.script((request, connection) -> { });
+        courier.start();
+        courier.offerSoon("m0", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        rig.change(43, Rig.host("e1", rig.first, drained ? "Terminating" : "Ready") + ","
+                + Rig.host("e2", rig.second, "Ready"));
+        rig.await("the list", () -> courier.host.hasListed("e2"));
+        assertEquals(1, calls());
+        rig.first.script((request, another) -> another.answer(200, ""));
+        connection.answer(200, "");
+        rig.await("its delivery", () -> courier.isOver("m1"));
+        assertEquals(drained ? 1 : 0, rig.second.requests.size());
+        assertEquals(2, calls());
+        assertEquals(List.of(), rig.notices);
+    }
+
+    /** The time of one message of a call is up while its connection comes up: only the others go, and in another call. */
+    @Test
+    void aMessageThatEndsWhileItsCallConnectsIsNotSent() throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        courier.start();
+        rig.first.ignore();
+        courier.onLoop(() -> {
+            courier.offer("m1", "once", SHORT_US, new byte[] {1});
+            courier.offer("m2", "once");
+            return null;
+        });
+        rig.await("their connect", () -> HostOnLoop.connecting(rig.first) == 1);
+        rig.await("the first one's end", () -> rig.noticed("m1", "deferred"));
+        rig.first.listen();
+        rig.await("the other one's delivery", () -> courier.isOver("m2"));
+        assertEquals(1, rig.first.requests.size());
+        assertEquals("m2", rig.first.requests.get(0).header("X-Request-ID"));
+        assertEquals(1, rig.notices.size());
+    }
+
+    /** A client goes as its message is delivered, in either order: nothing more is owed, and nothing is called twice. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aClientThatGoesAsItsMessageIsDelivered(final boolean first) throws Exception {
+        rig.first.script((request, connection) -> { });
+        courier.start();
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        courier.onLoop(() -> {
+            connection.answer(200, "");
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+            if (first) {
+                courier.host.withdraw("m1");
+            } else {
+                courier.at(courier.clock.nowUs(), () -> courier.host.withdraw("m1"));
+            }
+            return null;
+        });
+        rig.await("its end", () -> courier.isOver("m1") && !courier.isCalling());
+        rig.first.script((request, another) -> another.answer(200, ""));
+        courier.offerSoon("m2", "once", HostOnLoop.LIFE_US);
+        rig.await("the next one's delivery", () -> courier.isOver("m2"));
+        assertEquals(2, calls());
+        assertEquals(List.of(), rig.notices);
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/node/CallWaitTest.java
@@ -0,0 +1,180 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A wait that an answer tells, as another call to that destination is decided, connects or is about to be written. */
+@Timeout(120)
+final class CallWaitTest {
+    private static final long NEVER_US = 100_000_000;
+    private static final long SHORT_US = 2_000_000;
+    /** A call may arrive for 100 ms after the answer that tells a wait (PROTOCOL-irishead.md, The rules on sockets). */
+    private static final long GRACE_US = 100_000;
+    private static final String WAIT = "Retry-After: 600";
+    private static final String REFUSAL = "HTTP/1.1 429 X\r\n" + WAIT + "\r\nContent-Length: 0\r\n\r\n";
+
+    @TempDir
+    private Path folder;
+    private HostOnLoop courier;
+    private Rig rig;
+
+    @BeforeEach
+    void build() throws IOException {
+        courier = new HostOnLoop(folder);
+        rig = courier.rig;
+        rig.first.script((request, connection) -> { });
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        courier.close();
+    }
+
+    /** One message a call, so that two handed in together make two. */
+    private static String alone(final String text) {
+        return text.replace("\"per_call\":[5]", "\"per_call\":[1]");
+    }
+
+    /** Makes a call to an endpoint to which no further connection comes up, and one that waits for such a connection. */
+    private FakeServer.Connection callBesideOneThatConnects(final long lifeUs) throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        courier.start(CallWaitTest::alone);
+        courier.offerSoon("m1", "once", lifeUs);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        rig.first.ignore();
+        courier.offerSoon("m2", "once", HostOnLoop.LIFE_US);
+        rig.await("the other one's connect", () -> HostOnLoop.connecting(rig.first) == 1);
+        return connection;
+    }
+
+    /** First the head of a delivery that tells a wait, then the message's end: the wait binds what connects. */
+    @Test
+    void theWaitOfADeliveryThatItsMessagesEndCutsOffHoldsBackWhatConnects() throws Exception {
+        final FakeServer.Connection connection = callBesideOneThatConnects(2 * SHORT_US);
+        final long endUs = courier.clock.nowUs() + 2 * SHORT_US;
+        courier.onLoop(() -> {
+            HostOnLoop.hold(() -> courier.clock.nowUs() >= endUs);
+            connection.write("HTTP/1.1 200 OK\r\n" + WAIT + "\r\nContent-Length: 5\r\n\r\nab");
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+            return null;
+        });
+        rig.await("its delivery", () -> courier.isOver("m1"));
+        assertFalse(courier.isCalling(), "the other one's connect ends as the wait is told");
+        assertEquals(List.of(), rig.notices);
+    }
+
+    /** An endpoint whose routes are apart leaves the list and comes back while its call is out: it is the same one. */
+    @Test
+    void aWaitHoldsBackWhatConnectsToAnEndpointThatWasListedAgain() throws Exception {
+        rig.connectTimeoutUs = NEVER_US;
+        courier.start(text -> alone(text).replace("\"routes_apart\":[false]", "\"routes_apart\":[true]"));
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        rig.first.ignore();
+        rig.change(43, Rig.host("e1", rig.first, "Gone"));
+        courier.tell(44, "back", Rig.host("e1", rig.first, "Ready"));
+        courier.offerSoon("m2", "once", HostOnLoop.LIFE_US);
+        rig.await("the other one's connect", () -> HostOnLoop.connecting(rig.first) == 1);
+        connection.write(REFUSAL);
+        rig.await("the refusal", () -> courier.isOnLoop(() -> !courier.held("m1").isOut()));
+        assertFalse(courier.isCalling(), "the other one's connect ends as the wait is told");
+    }
+
+    /**
+     * First the answer, then the end of its call, in one turn and before the loop has read it: the answer counts. A
+     * turn reads first and then does what is due, one thing after the other.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {REFUSAL, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"})
+    void anAnswerThatLiesUnreadAsItsCallIsGivenUpCounts(final String answer) throws Exception {
+        courier.start(CallWaitTest::alone);
+        final long endUs = courier.onLoop(() -> {
+            courier.offer("m1", "once", SHORT_US, new byte[] {1});
+            return courier.clock.nowUs() + SHORT_US;
+        });
+        final FakeServer.Connection connection = courier.call(0).connection();
+        // The next turn begins with both due, this and the call's end, in this order.
+        courier.at(endUs - 60_000, () -> HostOnLoop.hold(() -> courier.clock.nowUs() > endUs));
+        courier.at(endUs - 30_000, () -> {
+            connection.write(answer);
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+        });
+        rig.await("its end", () -> courier.isOver("m1") || !rig.notices.isEmpty());
+        if (answer.equals(REFUSAL)) {
+            rig.await("its notice", () -> rig.noticed("m1", "deferred") || rig.noticed("m1", "undeliverable"));
+            assertTrue(rig.noticed("m1", "deferred"), "it was turned away, and has not run: " + rig.notices);
+            courier.offerSoon("m2", "safe", SHORT_US);
+            rig.await("its end without a call", () -> rig.noticed("m2", "deferred"));
+            assertEquals(1, rig.first.requests.size());
+        } else {
+            assertEquals(List.of(), rig.notices);
+        }
+    }
+
+    /** First an answer that tells a wait, then, later than the grace and before it is read, a call on a kept connection. */
+    @Test
+    void aWaitThatLiesUnreadHoldsBackACallOnAKeptConnection() throws Exception {
+        courier.start(CallWaitTest::alone);
+        courier.onLoop(() -> {
+            courier.offer("a", "safe");
+            courier.offer("b", "safe");
+            return null;
+        });
+        courier.call(1);
+        rig.first.requests.forEach(request -> request.connection().answer(200, ""));
+        rig.await("their delivery", () -> courier.isOver("a") && courier.isOver("b"));
+        courier.onLoop(() -> {
+            courier.holdForRest();
+            courier.offer("m1", "once");
+            return null;
+        });
+        final FakeServer.Connection connection = courier.call(2).connection();
+        courier.onLoop(() -> {
+            connection.write(REFUSAL);
+            HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+            courier.holdFor(GRACE_US);
+            courier.offer("m2", "once");
+            return null;
+        });
+        assertThatTheOtherOneIsHeldBack();
+    }
+
+    /** The same for a call whose connection has come up in that turn; which of the two is handled first is the system's. */
+    @Test
+    void aWaitThatLiesUnreadHoldsBackACallOnANewConnection() throws Exception {
+        courier.start(CallWaitTest::alone);
+        courier.offerSoon("m1", "once", HostOnLoop.LIFE_US);
+        final FakeServer.Connection connection = courier.call(0).connection();
+        courier.onLoop(() -> {
+            // Two calls to one endpoint are some ms apart.
+            courier.holdForRest();
+            courier.offer("m2", "once");
+            courier.then(() -> {
+                HostOnLoop.hold(() -> rig.first.connections.size() == 2);
+                connection.write(REFUSAL);
+                HostOnLoop.hold(() -> HostOnLoop.hasCome("an answer", rig.first, connection));
+                courier.holdFor(GRACE_US);
+            });
+            return null;
+        });
+        assertThatTheOtherOneIsHeldBack();
+    }
+
+    private void assertThatTheOtherOneIsHeldBack() {
+        rig.await("the refusal", () -> courier.isOnLoop(() -> !courier.held("m1").isOut()));
+        assertTrue(courier.isOnLoop(() -> courier.held("m2").attempts() == 0),
+                "a call was begun more than the grace after the wait was told");
+    }
+}
--- /dev/null
+++ b/src/test/java/driftchute/node/HandoverCrossingTest.java
@@ -0,0 +1,355 @@
+package driftchute.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ManualIoEventLoop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Two events that cross as one process takes another's place, in either order: the next process on a loop that the test
+ * steps, the journal of the one before in the test's hands.
+ */
+@Timeout(120)
+final class HandoverCrossingTest {
+    private static final long DEST = 7;
+    private static final long DISK_BYTES = 3_000_000;
+    private static final long TIMEOUT_US = 20_000_000;
+    private static final int MOST_OPEN = 50;
+    private static final int FULL = 900;
+
+    @TempDir
+    private Path folder;
+    private Path state;
+    private final SteppedLoop loop = new SteppedLoop();
+    private final Clock clock = new Clock();
+    private final Map<String, String> answers = new HashMap<>();
+    private AgentOnLoop agent;
+    private AgentOnLoop endpoint;
+    private Rig rig;
+    private Config config;
+    private Orders orders;
+    private Journal old;
+    private Journal own;
+    private Host host;
+    private int marks;
+
+    @BeforeEach
+    void build() throws Exception {
+        state = folder.resolve("state");
+        agent = new AgentOnLoop(loop, (request, peer) -> {
+            if (request.startsWith("POST")) {
+                peer.write("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+            } else {
+                peer.head();
+                peer.chunk("\n");
+            }
+        });
+        // Calls stay out.
+        endpoint = new AgentOnLoop(loop, (request, peer) -> { });
+        rig = new Rig(folder);
+        rig.maxOpen = MOST_OPEN;
+        rig.hosts = Rig.host("e1", "127.0.0.1:" + endpoint.address().getPort(), "Ready");
+        config = Config.read(Map.of("PROXY_CONFIG",
+                rig.configure("127.0.0.1:" + agent.address().getPort()).toString(), "PROXY_STATE", state.toString()));
+        old = Journal.open(state, DISK_BYTES);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        loop.close();
+        old.close();
+        rig.close();
+    }
+
+    private Held held(final String id) {
+        return new Held(id, "safe", null, DEST, clock.wallUs() + TIMEOUT_US, new byte[] {1});
+    }
+
+    /** The next process begins; its list is confirmed. */
+    private void standBy() {
+        own = new Journal(config.state(), config.diskBytes());
+        orders = new Orders(config.state());
+        host = new Host(config, loop.mine(), clock, own, orders);
+        host.start();
+        loop.pass(50);
+    }
+
+    private void takeOver() throws IOException {
+        standBy();
+        host.takeUp();
+        loop.pass(50);
+    }
+
+    private Host.Reply reply(final String id) {
+        return new Host.Reply() {
+            @Override
+            public void accepted() {
+                answers.put(id, "accepted");
+            }
+
+            @Override
+            public void refused(final int status, final long retryAfterUs) {
+                answers.put(id, "refused " + status);
+            }
+
+            @Override
+            public void failed() {
+                answers.put(id, "failed");
+            }
+        };
+    }
+
+    private void handIn(final String id) {
+        host.offer(held(id), clock.nowUs() + TIMEOUT_US, reply(id));
+    }
+
+    /** The decisions look at the machine's clock, so that some steps take their time. */
+    private void await(final String what, final BooleanSupplier condition) {
+        rig.await(what, () -> {
+            loop.pass(10);
+            return condition.getAsBoolean();
+        });
+    }
+
+    /** The next process has read on in the old one's journal: what is recorded last there has been taken up. */
+    private void awaitReading() {
+        final String mark = "mark" + marks++;
+        assertTrue(old.take(held(mark)));
+        await("the reading of " + mark, () -> own.holds(mark));
+        loop.settle();
+    }
+
+    // ---------------------------------------------------------------- orders
+
+    /** The order is in force, and its OK given, while the call's connection comes up. */
+    @Test
+    void aBanThatIsToldWhileAConnectionComesUpHoldsForItsCall() throws Exception {
+        takeOver();
+        host.offer(held("m"), clock.nowUs() + TIMEOUT_US, new Host.Reply() {
+            @Override
+            public void accepted() {
+                // Right behind the pass that begins the call, before the loop looks at its sockets again.
+                loop.mine().execute(HandoverCrossingTest.this::setDown);
+            }
+
+            @Override
+            public void refused(final int status, final long retryAfterUs) {
+                answers.put("m", "refused " + status);
+            }
+
+            @Override
+            public void failed() {
+                answers.put("m", "failed");
+            }
+        });
+        loop.pass(200);
+        assertTrue(orders.standing().out().contains("e1"), "told");
+        assertEquals(0, endpoint.requests.size(), "begun after the OK");
+        orders.change(standing -> standing.without("e1"));
+        await("it goes when the ban is over", () -> endpoint.requests.size() == 1);
+    }
+
+    private void setDown() {
+        try {
+            orders.change(standing -> standing.with("e1"));
+        } catch (final IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The other order: what is out already is not cut off. */
+    @Test
+    void aBanThatIsToldWhenACallIsOutLeavesItToItsEnd() throws Exception {
+        takeOver();
+        handIn("m");
+        await("its call", () -> endpoint.requests.size() == 1);
+        setDown();
+        loop.pass(200);
+        assertTrue(host.endpoints().isCalling(), "still out");
+        endpoint.peers.get(0).write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        await("its delivery", host::idle);
+        assertEquals(1, endpoint.requests.size());
+    }
+
+    // ---------------------------------------------------------------- files of earlier processes
+
+    /** A kill in the compaction of a process that was not the first leaves the file that it wrote. */
+    @Test
+    void whatAKillInItsCompactionLeftGoesWithAPredecessorsFile() throws Exception {
+        final Path left = state.resolve("journal.1.next");
+        try (Journal second = Journal.open(state, DISK_BYTES)) {
+            assertTrue(second.take(held("m")));
+        }
+        Files.write(left, new byte[] {1, 2, 3});
+        old.close();
+        takeOver();
+        assertTrue(own.holds("m"), "taken up");
+        assertFalse(Files.exists(state.resolve("journal.1")), "its file is of no use any more");
+        assertFalse(Files.exists(left), "nor is what its compaction had written");
+        old = Journal.open(folder.resolve("other"), DISK_BYTES);
+    }
+
+    /** The other order: as long as it lives, its files are its own. */
+    @Test
+    void theFilesOfAPredecessorThatLivesStay() throws Exception {
+        final Path next = state.resolve("journal.next");
+        Files.write(next, new byte[] {1, 2, 3});
+        takeOver();
+        awaitReading();
+        assertTrue(Files.exists(next) && Files.exists(state.resolve("journal")));
+    }
+
+    // ---------------------------------------------------------------- a client that comes again under the same id
+
+    /** The connection broke before the old one's answer, which withdrew the message; its client came to the next one. */
+    @Test
+    void whatTheNextTookOnItselfOutlivesAnEarlierWithdrawalAtTheOld() throws Exception {
+        takeOver();
+        assertTrue(old.take(held("x")));
+        awaitReading();
+        assertTrue(own.holds("x"));
+        old.over("x");
+        awaitReading();
+        assertFalse(own.holds("x"), "nobody was promised anything");
+        handIn("x");
+        loop.pass(50);
+        assertEquals("accepted", answers.get("x"));
+        awaitReading();
+        assertTrue(own.holds("x"), "taken on, and promised");
+    }
+
+    /** The other order: the next one has it before it reads of the old one's. */
+    @Test
+    void whatTheNextTookOnItselfOutlivesALaterWithdrawalAtTheOld() throws Exception {
+        takeOver();
+        handIn("x");
+        loop.pass(50);
+        assertEquals("accepted", answers.get("x"));
+        assertTrue(old.take(held("x")));
+        old.over("x");
+        awaitReading();
+        assertTrue(own.holds("x"), "taken on, and promised");
+    }
+
+    /** What is out at the old one is not adopted, and held by the courier all the same. */
+    @Test
+    void aRepeatOfWhatIsOutAtTheOldIsNoNewMessage() throws Exception {
+        final Held out = held("x");
+        assertTrue(old.take(out) && old.begin(out, clock.wallUs(), "a"));
+        takeOver();
+        assertTrue(host.holds("x"), "taken on twice, it would be sent twice");
+        old.settle(out, false);
+        old.over("x");
+        awaitReading();
+        assertFalse(host.holds("x"), "over");
+    }
+
+    /** The same as the one before it, and this process leaves its place in its turn: it writes its file anew. */
+    @Test
+    void whatWasTakenOnAnewIsInTheFileThatIsWrittenAnew() throws Exception {
+        takeOver();
+        assertTrue(old.take(held("x")));
+        old.over("x");
+        awaitReading();
+        handIn("x");
+        loop.pass(50);
+        assertEquals("accepted", answers.get("x"));
+        host.leave();
+        try (FileChannel file = FileChannel.open(state.resolve("journal.1"))) {
+            final JournalReader reader = new JournalReader(file);
+            reader.read();
+            assertTrue(reader.live().containsKey("x"), "taken on, and promised");
+        }
+    }
+
+    // ---------------------------------------------------------------- taking up a full store
+
+    private void fill() {
+        for (int number = 0; number < FULL; number++) {
+            assertTrue(old.take(held("f" + number)));
+        }
+    }
+
+    /** What the decisions have been told of: beyond the bound of the store they refuse at once. */
+    private long refused() {
+        return FULL - own.live().stream().filter(held -> held.notice() == null).count();
+    }
+
+    private void turn() {
+        ((ManualIoEventLoop) loop.mine()).runNow();
+    }
+
+    @Test
+    void aClientIsAnsweredBeforeAFullStoreIsTakenUpWhole() throws Exception {
+        fill();
+        standBy();
+        final Intake intake = new Intake(config, clock, host, orders);
+        host.takeUp();
+        final ChannelFuture bound = intake.listen(loop.mine(), loop.mine());
+        int turns = 0;
+        while (!bound.isDone() && turns++ < FULL) {
+            turn();
+        }
+        final int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+        try (Socket client = new Socket("127.0.0.1", port)) {
+            client.getOutputStream().write("GET /up HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            while (client.getInputStream().available() == 0 && turns++ < FULL) {
+                turn();
+            }
+            final long told = refused();
+            assertEquals(200, Rig.read(client.getInputStream()).status());
+            assertTrue(told < FULL / 2, "answered when " + told + " of " + FULL + " were decided on");
+        }
+        await("all of them in the end", () -> refused() >= FULL - MOST_OPEN);
+    }
+
+    /** The place is left between two steps: what was not taken up yet is owed all the same, and free to go. */
+    @Test
+    void whatIsNotTakenUpYetAsTheNextProcessLeavesIsTheOneAfters() throws Exception {
+        fill();
+        standBy();
+        host.takeUp();
+        assertFalse(host.idle());
+        assertTrue(host.holds("f" + (FULL - 1)), "a repeat of it is none that is new");
+        host.leave();
+        loop.pass(100);
+        try (FileChannel file = FileChannel.open(state.resolve("journal.1"))) {
+            final JournalReader reader = new JournalReader(file);
+            reader.read();
+            assertEquals(FULL, reader.live().size());
+            assertTrue(reader.live().values().stream().noneMatch(Held::isOut));
+        }
+        assertEquals(0, endpoint.requests.size());
+    }
+
+    /** The old one withdraws it between two steps. */
+    @Test
+    void whatTheOldWithdrawsBeforeItIsTakenUpIsOver() throws Exception {
+        fill();
+        standBy();
+        host.takeUp();
+        final String last = "f" + (FULL - 1);
+        old.over(last);
+        await("the end of the taking up", () -> refused() >= FULL - MOST_OPEN);
+        assertFalse(own.holds(last));
+        assertTrue(agent.requests.stream().noneMatch(request -> request.contains('"' + last + '"')),
+                "its client counts on nothing");
+    }
+}
