Review case 1: calls of 2.5 s, so that a slow start does not hide the fault

Calls of 1.5 s leave little room for a slow start.

Change: the endpoints take 2.5 s for an order and 2.9 s at the slow partner.

--- a/review/src/TwoUpgrades.java
+++ b/review/src/TwoUpgrades.java
@@ -10,7 +10,8 @@
 
 /**
  * Seven partners with one endpoint each. Six are at their rate limit: each turns the first call with an order away with
- * 429 and an honest wait, and answers the next one 200 after 1.5 s. The seventh takes 2.7 s for a call. With trouble the courier is upgraded twice, the second time
+ * 429 and an honest wait, and answers the next one 200 after 2.5 s. The seventh takes 2.9 s for a call. With trouble the
+ * courier is upgraded twice, the second time
  * directly after the first. No licence order may be called again while an earlier call is out or after one that was not
  * turned away.
  */
@@ -22,9 +23,9 @@
     private static final int ROUNDS = 4;
     private static final long TIMEOUT_MS = 12_000;
     private static final String WAIT_S = "0.400";
-    private static final long WORK_MS = 1500;
+    private static final long WORK_MS = 2500;
     /** A seventh partner of slower pace, which turns nothing away. */
-    private static final long SLOW_WORK_MS = 2700;
+    private static final long SLOW_WORK_MS = 2900;
     private static final int PATIENCE_MS = 400;
     /** LATER.md, Upgrades: SIGKILL follows SIGTERM after 3.7 s. The second SIGTERM comes within that time. */
     private static final long KILL_AFTER_MS = 3700;
