Review case 1: other partners in each round, so that rounds do not depend

Cause: a courier's windows outlast the upgrades.

Change: each of the four rounds has partners of its own.

--- a/review/src/TwoUpgrades.java
+++ b/review/src/TwoUpgrades.java
@@ -9,17 +9,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Seven partners with one endpoint each. Six are at their rate limit: each turns the first call with an order away with
- * 429 and an honest wait, and answers the next one 200 after 2.5 s. The seventh takes 2.9 s for a call. With trouble the
- * courier is upgraded twice, the second time
- * directly after the first. No licence order may be called again while an earlier call is out or after one that was not
- * turned away.
+ * Four rounds with seven partners each, of one endpoint each. Six are at their rate limit: each turns the first call with
+ * an order away with 429 and an honest wait, and answers the next one 200 after 2.5 s. The seventh takes 2.9 s for a call.
+ * With trouble the courier is upgraded twice in each round, the second time directly after the first. No licence order may
+ * be called again while an earlier call is out or after one that was not turned away.
  */
 public final class TwoUpgrades {
-    /** Six at their limit, and the slow one. */
+    /** Partners in a round: six at their limit, and the slow one. */
     private static final int PARTNERS = 7;
-
-    private static final String SLOW = "s-6";
     private static final int ROUNDS = 4;
     private static final long TIMEOUT_MS = 12_000;
     private static final String WAIT_S = "0.400";
@@ -67,12 +64,17 @@
         System.exit(exit);
     }
 
+    /** The last partner of each round. */
+    private static boolean isSlow(final String endpoint) {
+        return Integer.parseInt(endpoint.substring(2)) % PARTNERS == PARTNERS - 1;
+    }
+
     private void onCall(final String endpoint, final Stand.Http request, final Stand.Conn conn) throws IOException {
         final String id = request.header("X-Request-ID");
         final boolean turnsAway;
         synchronized (calls) {
             final List<Call> before = calls.computeIfAbsent(id, unused -> new ArrayList<>());
-            turnsAway = before.isEmpty() && !endpoint.equals(SLOW);
+            turnsAway = before.isEmpty() && !isSlow(endpoint);
             final String text = "call " + (before.size() + 1) + " with " + id + " at " + endpoint;
             record.line(text + (turnsAway ? ", turned away" : ", runs"));
             before.stream()
@@ -85,7 +87,7 @@
             conn.answer(429, "Retry-After: " + WAIT_S + "\r\n");
             return;
         }
-        Stand.sleep(endpoint.equals(SLOW) ? SLOW_WORK_MS : WORK_MS);
+        Stand.sleep(isSlow(endpoint) ? SLOW_WORK_MS : WORK_MS);
         record.line("answer 200 for " + id + " by " + endpoint);
         conn.answer(200, "");
     }
@@ -112,7 +114,7 @@
     private int play(final boolean trouble) throws IOException {
         Files.createDirectories(work.resolve("state"));
         Files.createDirectories(work.resolve("tmp"));
-        for (int dest = 0; dest < PARTNERS; dest++) {
+        for (int dest = 0; dest < ROUNDS * PARTNERS; dest++) {
             final String name = "s-" + dest;
             final Stand.Server server = new Stand.Server((request, conn) -> onCall(name, request, conn));
             platform.set(name, Stand.Platform.host(name, server.address(), "small-partner", dest, "Ready"));
@@ -134,10 +136,10 @@
             Stand.sleep(phases.nextInt(1000));
             // Clients with a connection of their own, which they keep.
             final List<Stand.Client> clients = new ArrayList<>();
-            for (int dest = 0; dest < PARTNERS; dest++) {
+            for (int partner = 0; partner < PARTNERS; partner++) {
                 final Stand.Client client = new Stand.Client(port);
                 clients.add(client);
-                handIn(client, String.format(Locale.ROOT, "%016x", 0x9b1f03aa5c7e0000L + handedIn++), dest);
+                handIn(client, String.format(Locale.ROOT, "%016x", 0x9b1f03aa5c7e0000L + handedIn), handedIn++);
             }
             Stand.sleep(50);
             if (trouble) {
