--- a/review/src/Stand.java
+++ b/review/src/Stand.java
@@ -322,6 +322,12 @@
     /** A courier process, started by the run line of the deploy file. */
     static final class Courier implements Closeable {
         private static final List<Courier> ALL = new CopyOnWriteArrayList<>();
+
+        static {
+            // Also when the script itself is told to end.
+            Runtime.getRuntime().addShutdownHook(new Thread(Courier::closeAll));
+        }
+
         final Process process;
         /** Port of its second address; 0 if it has none. */
         final int mgmt;
