An answer that is no HTTP/1.1 proves nothing: its message may have been executed

Cause: EndpointClient trusted 429, 503, 504 and 410 of every answer that Netty decodes, and Netty decodes any version, any spelling of the number, bytes before the status line, and makes a header without a value of a line without a colon, in head and trailer.

A wait in a field that can be read still counts. New log line answer_unreadable with the cause.

Why it works: nothing but a decoded answer reaches the outcome, so no status of another form can prove anything.

--- a/src/main/java/driftchute/node/EndpointClient.java
+++ b/src/main/java/driftchute/node/EndpointClient.java
@@ -67,7 +67,6 @@
 
     private static final int OK = 200;
     private static final int FIRST_FINAL_STATUS = 200;
-    private static final int MAX_STATUS = 599;
     private static final int GONE = 410;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int UNAVAILABLE = 503;
@@ -562,20 +561,19 @@
 
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final HttpObject part) {
-            if (call == null || part.decoderResult().isFailure()) {
-                // Bytes that belong to no call or cannot be parsed: this connection cannot be trusted.
+            if (call == null) {
+                // Bytes that belong to no call: this connection cannot be trusted.
                 onBroken(Result.ERROR);
                 return;
             }
             if (part instanceof HttpResponse response) {
-                final int code = response.status().code();
-                if (code > MAX_STATUS || !RequestDecoder.hasSingleFraming(response)) {
-                    onBroken(Result.ERROR);
-                    return;
-                }
                 head = response;
                 keepAlive = HttpUtil.isKeepAlive(response);
             }
+            if (!isReadable(part)) {
+                onUnreadable(part);
+                return;
+            }
             if (part instanceof HttpContent content) {
                 if (body.size() + content.content().readableBytes() > MAX_BODY_BYTES) {
                     onBroken(Result.ERROR);
@@ -594,6 +592,29 @@
             }
         }
 
+        private static boolean isReadable(final HttpObject part) {
+            return part.decoderResult().isSuccess()
+                    && (!(part instanceof HttpResponse response) || RequestDecoder.hasSingleFraming(response));
+        }
+
+        /**
+         * Handles an answer that is no HTTP/1.1. Its status and its end prove nothing, so the call may have been
+         * executed. Only a status line with 200, and a wait, still count.
+         */
+        private void onUnreadable(final HttpObject part) {
+            Log.event(
+                    "answer_unreadable",
+                    "from",
+                    String.valueOf(call.pool.address),
+                    "messages",
+                    call.items.size(),
+                    "status",
+                    head == null ? 0 : head.status().code(),
+                    "cause",
+                    String.valueOf(part.decoderResult().cause()));
+            onBroken(Result.ERROR);
+        }
+
         @Override
         public void onAnswerBegun() {
             if (call == null || !call.written) {
