A list of states in another form than the protocol's proves nothing about any message

Seen: in a test, an answer to several messages whose body is an object of items, names a field twice, names a message of another call, or has an item that is no object: messages it called "deferred" were sent again although they may have been executed.

Change: BulkAnswer parses the body as PROTOCOL has it, an array of objects with the id of a message of the call and a state, no field twice; anything else makes the whole answer one that may have been executed, with a line answer_unreadable. States are an enum.

Why it works: a state counts only out of a list that is whole and belongs to this call.

--- a/src/main/java/driftchute/node/EndpointClient.java
+++ b/src/main/java/driftchute/node/EndpointClient.java
@@ -1,8 +1,6 @@
 package driftchute.node;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -47,6 +45,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 /**
  * Makes calls to endpoints, with one or several messages each, over kept connections that carry one call at a time.
@@ -94,14 +93,12 @@
 
     private static final double MAX_RATE = 1e6;
     private static final double MAX_UNUSED_SHARE = 2;
-    /** State of a message that an answer does not mention, or mentions with two states. */
-    private static final String UNKNOWN_STATE = "";
 
     private final Clock clock;
     private final EventLoop loop;
     private final DeliveryService host;
     private final Bootstrap bootstrap;
-    private final ObjectMapper json = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    private final ObjectMapper json = new ObjectMapper();
     private final long idleTimeoutUs;
     private final long connectTimeoutUs;
     private final Map<Long, ConnectionPool> pools = new HashMap<>();
@@ -602,17 +599,24 @@
          * executed. Only a status line with 200, and a wait, still count.
          */
         private void onUnreadable(final HttpObject part) {
+            logUnreadable(
+                    call,
+                    head == null ? 0 : head.status().code(),
+                    part.decoderResult().cause());
+            onBroken(Result.ERROR);
+        }
+
+        private void logUnreadable(final Call of, final int status, final Throwable cause) {
             Log.event(
                     "answer_unreadable",
                     "from",
-                    String.valueOf(call.pool.address),
+                    String.valueOf(of.pool.address),
                     "messages",
-                    call.items.size(),
+                    of.items.size(),
                     "status",
-                    head == null ? 0 : head.status().code(),
+                    status,
                     "cause",
-                    String.valueOf(part.decoderResult().cause()));
-            onBroken(Result.ERROR);
+                    String.valueOf(cause));
         }
 
         @Override
@@ -728,41 +732,39 @@
          * then and does not count as answered.
          */
         private void reportEachOutcome(final Call done, final MessageOutcome whole) {
-            final Map<String, String> states = new HashMap<>();
-            try {
-                for (final JsonNode item : json.readTree(body.toByteArray())) {
-                    states.merge(
-                            item.path("id").asText(),
-                            item.path("state").asText(),
-                            (outcome, other) -> outcome.equals(other) ? outcome : UNKNOWN_STATE);
-                }
-            } catch (final IOException e) {
-                // The answer is damaged: each message may have been executed.
-                states.clear();
-            }
+            final BulkAnswer answer = parseBulkAnswer(done);
             final long nowUs = clock.nowUs();
             final boolean late = done.items.stream().anyMatch(item -> item.message().validUntilUs <= nowUs);
             for (final DeliveryService.CallItem item : done.items) {
-                final MessageOutcome outcome =
-                        switch (states.getOrDefault(item.message().journaled.id, UNKNOWN_STATE)) {
-                            case "accepted" ->
-                                new MessageOutcome(
-                                        late ? Result.TIMED_OUT : Result.DELIVERED,
-                                        !late,
-                                        whole.waitUs(),
-                                        whole.reportedLimit());
-                            case "deferred" ->
-                                new MessageOutcome(Result.REFUSED, false, whole.waitUs(), whole.reportedLimit());
-                            case "expired" ->
-                                new MessageOutcome(Result.NOT_SENT, true, whole.waitUs(), whole.reportedLimit());
-                            case "no_more" ->
-                                new MessageOutcome(Result.NOT_SENT, false, whole.waitUs(), whole.reportedLimit());
-                            default -> new MessageOutcome(Result.ERROR, false, whole.waitUs(), whole.reportedLimit());
-                        };
-                host.onOutcome(item, done, outcome);
+                final BulkAnswer.State state = answer.stateOf(item.message().journaled);
+                host.onOutcome(item, done, outcomeOfState(state, late, whole));
+            }
+        }
+
+        private BulkAnswer parseBulkAnswer(final Call done) {
+            final Set<String> ids =
+                    done.items.stream().map(item -> item.message().journaled.id).collect(Collectors.toSet());
+            try {
+                return BulkAnswer.parse(body.toByteArray(), ids);
+            } catch (final IOException e) {
+                logUnreadable(done, OK, e);
+                return BulkAnswer.unreadable();
             }
         }
 
+        private static MessageOutcome outcomeOfState(
+                final BulkAnswer.State state, final boolean late, final MessageOutcome whole) {
+            final Result result =
+                    switch (state) {
+                        case ACCEPTED -> late ? Result.TIMED_OUT : Result.DELIVERED;
+                        case DEFERRED -> Result.REFUSED;
+                        case EXPIRED, NO_MORE -> Result.NOT_SENT;
+                        case UNKNOWN -> Result.ERROR;
+                    };
+            final boolean isFinal = state == BulkAnswer.State.ACCEPTED && !late || state == BulkAnswer.State.EXPIRED;
+            return new MessageOutcome(result, isFinal, whole.waitUs(), whole.reportedLimit());
+        }
+
         @Override
         public void channelInactive(final ChannelHandlerContext ctx) {
             onBroken(Result.RESET);
--- a/src/test/java/driftchute/node/CallCrossingTest.java
+++ b/src/test/java/driftchute/node/CallCrossingTest.java
@@ -171,6 +171,28 @@
         rig.await("their end", () -> rig.noticed("m1", "undeliverable") && rig.noticed("m2", "undeliverable"));
     }
 
+    /**
+     * A list in another form than the protocol's proves nothing, so no message in it counts as never executed and is
+     * sent again.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"a\":{\"id\":\"m1\",\"state\":\"deferred\"},\"b\":{\"id\":\"m2\",\"state\":\"deferred\"}}",
+                "[{\"id\":\"m1\",\"state\":\"fault\",\"state\":\"deferred\"},{\"id\":\"m2\",\"state\":\"deferred\"}]",
+                "[{\"id\":\"m1\",\"state\":\"deferred\"},{\"id\":\"m2\",\"state\":\"deferred\"},{\"id\":\"m0\",\"state\":\"deferred\"}]",
+                "[{\"id\":\"m1\",\"state\":\"deferred\"},{\"id\":\"m2\",\"state\":\"deferred\"},7]",
+                "[{\"id\":\"m1\",\"state\":\"no_more\"},{\"id\":\"m2\",\"state\":\"expired\"}]{}"
+            })
+    void anInvalidAnswerToSeveralIsNoRefusal(final String body) throws IOException {
+        shareACall("once").answer(200, body);
+        rig.await(
+                "their ends, or another call",
+                () -> rig.noticed("m1", "undeliverable") && rig.noticed("m2", "undeliverable")
+                        || rig.first.requests.size() > 1);
+        assertEquals(1, rig.first.requests.size(), "they may have been executed, so they are not sent again");
+    }
+
     /** A list that names a message twice with different states says nothing about it. */
     @Test
     void twoStatesOfOneMessageSayNothingAboutIt() throws IOException {
