A confirmation of notices that is no HTTP/1.1 confirms nothing

Seen: in a test, 204 in an answer of another version, spelled "0204", or with noise in its head ended the notices of a batch. If the platform has not taken them, their messages are lost.

Cause: the same as of calls; Netty's client codec decodes such answers.

Change: the platform's connection uses ResponseDecoder, whose failures already closed the connection and repeated the batch. A notice that arrives twice does no harm (PROTOCOL, Notices).

--- a/src/main/java/driftchute/node/NoticeSender.java
+++ b/src/main/java/driftchute/node/NoticeSender.java
@@ -13,10 +13,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -230,7 +230,8 @@
                         protected void initChannel(final Channel fresh) {
                             fresh.pipeline()
                                     .addLast(
-                                            new HttpClientCodec(),
+                                            new ResponseDecoder(),
+                                            new HttpRequestEncoder(),
                                             new HttpObjectAggregator(MAX_BODY_BYTES),
                                             PlatformConnection.this);
                         }
--- a/src/test/java/driftchute/node/NoticeSenderTest.java
+++ b/src/test/java/driftchute/node/NoticeSenderTest.java
@@ -11,11 +11,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Notices arrive within 0.3 s of what delays them, on a manual clock, and each is confirmed once. */
 @Timeout(60)
 final class NoticeSenderTest {
     private static final long RULE_MS = 300;
+    private static final String UNAVAILABLE = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
     private static final String CONFIRMED = "HTTP/1.1 204 X\r\n\r\n";
 
     private final SteppedLoop loop = new SteppedLoop();
@@ -56,7 +59,7 @@
                 (request, peer) -> {},
                 (request, peer) -> peer.write("HTTP/1.1 2"),
                 (request, peer) -> peer.reset(),
-                (request, peer) -> peer.write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"));
+                (request, peer) -> peer.write(UNAVAILABLE));
         for (final var way : ways) {
             begin((request, peer) -> {
                 if (platform.requests.size() == 1) {
@@ -172,4 +175,17 @@
             confirmed.clear();
         }
     }
+
+    /** A confirmation that is no HTTP/1.1 once counted, so a notice that the platform had not recorded was forgotten. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"HTTP/2.0 204 X\r\n\r\n", "HTTP/1.1 0204 X\r\n\r\n", "HTTP/1.1 204 X\r\n#~ noise ~#\r\n\r\n"})
+    void anUnreadableConfirmationIsRepeatedInTime(final String unreadable) {
+        begin((request, peer) -> peer.write(platform.requests.size() == 1 ? unreadable : CONFIRMED));
+        owe("m1");
+        notices.flush();
+        assertTrue(untilConfirmed("m1") < RULE_MS);
+        assertEquals(2, platform.requests.size());
+        assertAllConfirmedOnce("m1");
+    }
 }
