Bytes behind a confirmation of notices confirm no other batch

Seen: in a test, the platform confirms one batch and sends a second copy, or the beginning of one, behind it. The next batch counted as confirmed although the platform had refused it, so those notices were forgotten and their messages lost.

Cause: the next batch was written in the very turn of the answer, so that the copy behind it, in the same read, was decoded as its answer. On an idle connection half a head stayed in the decoder and joined with the next answer.

Change: a batch right behind an answer goes over a new connection; a kept one rests 5 ms, as one for calls does, and is looked at before its next use; bytes that answer no batch end it.

Why it works: on a new connection nothing of an earlier answer can arrive.

--- a/src/main/java/driftchute/node/EndpointChannel.java
+++ b/src/main/java/driftchute/node/EndpointChannel.java
@@ -6,10 +6,16 @@
 import java.nio.ByteBuffer;
 
 /**
- * A connection for calls that supports a stale check. The event loop notices what has arrived only in its next turn; a
- * call written in this turn could meet the endpoint's close, or bytes that do not answer it.
+ * A connection for calls to an endpoint, or for notices, that supports a stale check. The event loop notices what has
+ * arrived only in its next turn; a call written in this turn could meet the peer's close, or bytes that do not answer it.
  */
 final class EndpointChannel extends NioSocketChannel {
+    /**
+     * Rest of a connection between an answer and its next call, us. Bytes that belong to no call may still arrive right
+     * after an answer.
+     */
+    static final long REST_US = 5_000;
+
     /**
      * True if the peer has closed the connection or unread bytes have arrived. The connection is unusable then, because
      * this check may consume one byte. Only before the last byte of a call, on the event loop's thread.
--- a/src/main/java/driftchute/node/EndpointClient.java
+++ b/src/main/java/driftchute/node/EndpointClient.java
@@ -76,11 +76,6 @@
      * send.
      */
     private static final long ANSWER_COMPLETION_MS = 500;
-    /**
-     * Rest of a connection between an answer and its next call, us. Bytes that belong to no call may still arrive right
-     * after an answer.
-     */
-    private static final long CONNECTION_REST_US = 5_000;
     /** Delay before a call tries again to get a descriptor or permission to be written, us. */
     private static final long RETRY_DELAY_US = 20_000;
     /** A number in an answer: no sign, exponent or word. */
@@ -336,8 +331,8 @@
         final List<EndpointConnection> newestFirst = new ArrayList<>(call.pool.idle);
         Collections.reverse(newestFirst);
         for (final EndpointConnection connection : newestFirst) {
-            if (connection.idleSinceUs + CONNECTION_REST_US > nowUs) {
-                restUs = Math.min(restUs, connection.idleSinceUs + CONNECTION_REST_US - nowUs);
+            if (connection.idleSinceUs + EndpointChannel.REST_US > nowUs) {
+                restUs = Math.min(restUs, connection.idleSinceUs + EndpointChannel.REST_US - nowUs);
             } else if (connection.idleSinceUs + idleTimeoutUs <= nowUs || connection.isStale()) {
                 connection.close();
             } else {
@@ -346,7 +341,7 @@
                 return;
             }
         }
-        if (restUs <= CONNECTION_REST_US) {
+        if (restUs <= EndpointChannel.REST_US) {
             schedule(call, restUs, () -> dispatch(call));
         } else {
             connect(call);
--- a/src/main/java/driftchute/node/NoticeSender.java
+++ b/src/main/java/driftchute/node/NoticeSender.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -102,6 +101,9 @@
         }
         final String body = fillBatch();
         answerTimer = loop.schedule(this::onAnswerTimeout, answerTimeoutMs, TimeUnit.MILLISECONDS);
+        if (connection != null && !connection.isReusable()) {
+            dropConnection();
+        }
         if (connection == null) {
             connection = new PlatformConnection();
             connection.connect(body);
@@ -201,6 +203,10 @@
 
     private void closeConnection() {
         clearBatch();
+        dropConnection();
+    }
+
+    private void dropConnection() {
         final PlatformConnection old = connection;
         connection = null;
         if (old != null) {
@@ -216,21 +222,29 @@
         }
     }
 
-    /** One connection to the platform. */
-    private final class PlatformConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /**
+     * One connection to the platform. Bytes behind an answer end it: they would confirm the next batch, whether or not
+     * the platform has recorded that.
+     */
+    private final class PlatformConnection extends SimpleChannelInboundHandler<FullHttpResponse>
+            implements ResponseDecoder.Listener {
         private Channel channel;
+        /** A batch was sent here and is not answered yet. */
+        private boolean awaitsAnswer;
+        /** An answer has just arrived. */
+        private boolean resting;
 
         private void connect(final String body) {
             channel = new Bootstrap()
                     .group(loop)
-                    .channel(NioSocketChannel.class)
+                    .channelFactory(EndpointChannel::new)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(final Channel fresh) {
                             fresh.pipeline()
                                     .addLast(
-                                            new ResponseDecoder(),
+                                            new ResponseDecoder(PlatformConnection.this),
                                             new HttpRequestEncoder(),
                                             new HttpObjectAggregator(MAX_BODY_BYTES),
                                             PlatformConnection.this);
@@ -250,6 +264,17 @@
                     .channel();
         }
 
+        /** True if nothing has arrived since the last answer, some time ago. */
+        private boolean isReusable() {
+            return !resting && channel instanceof EndpointChannel open && !open.isStale();
+        }
+
+        private void rest() {
+            awaitsAnswer = false;
+            resting = true;
+            loop.schedule(() -> resting = false, EndpointChannel.REST_US, TimeUnit.MICROSECONDS);
+        }
+
         private void post(final String body) {
             final var request = new DefaultFullHttpRequest(
                     HttpVersion.HTTP_1_1,
@@ -259,6 +284,7 @@
             request.headers().set(HttpHeaderNames.HOST, address.getHostString());
             request.headers()
                     .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+            awaitsAnswer = true;
             channel.writeAndFlush(request);
         }
 
@@ -280,9 +306,22 @@
             }
         }
 
+        @Override
+        public void onAnswerBegun() {
+            if (connection != this || awaitsAnswer) {
+                return;
+            }
+            // These bytes answer no batch, and a batch that is still to be sent here needs another connection.
+            if (batch.isEmpty()) {
+                dropConnection();
+            } else {
+                onFailure();
+            }
+        }
+
         @Override
         protected void channelRead0(final ChannelHandlerContext ctx, final FullHttpResponse answer) {
-            if (connection != this || batch.isEmpty() || answer.decoderResult().isFailure()) {
+            if (connection != this || !awaitsAnswer || answer.decoderResult().isFailure()) {
                 ctx.close();
                 return;
             }
@@ -290,6 +329,7 @@
                 connection = null;
                 ctx.close();
             }
+            rest();
             onAnswer(answer.status().code());
         }
 
--- a/src/test/java/driftchute/node/NoticeSenderTest.java
+++ b/src/test/java/driftchute/node/NoticeSenderTest.java
@@ -18,6 +18,9 @@
 @Timeout(60)
 final class NoticeSenderTest {
     private static final long RULE_MS = 300;
+    /** More than the rest of a connection between an answer and the next batch. */
+    private static final long REST_MS = 10;
+
     private static final String UNAVAILABLE = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
     private static final String CONFIRMED = "HTTP/1.1 204 X\r\n\r\n";
 
@@ -142,6 +145,8 @@
             owe("m1");
             notices.flush();
             untilConfirmed("m1");
+            // A connection is not used again in the turn of its answer.
+            loop.pass(REST_MS);
             owe("m2");
             if (closeFirst) {
                 platform.peers.get(0).reset();
@@ -176,6 +181,37 @@
         }
     }
 
+    /** A second copy of a confirmation, or noise behind it, once confirmed the next batch, which the platform had not recorded. */
+    @ParameterizedTest
+    @ValueSource(strings = {CONFIRMED, "HTTP/1.1 204 X\r\nX-Half: ", "#~ noise ~#\r\n\r\n"})
+    void bytesBehindAConfirmationConfirmNoOtherBatch(final String tail) {
+        begin((request, peer) -> peer.write(request.contains("m2") ? UNAVAILABLE : CONFIRMED + tail));
+        owe("m1");
+        notices.flush();
+        owe("m2");
+        loop.pass(2 * RULE_MS);
+        assertEquals(List.of("m1"), confirmed);
+        assertTrue(platform.requests.stream().anyMatch(request -> request.contains("m2")));
+    }
+
+    /** The same bytes arrive while the connection is idle. */
+    @ParameterizedTest
+    @ValueSource(strings = {CONFIRMED, "HTTP/1.1 204 X\r\nX-Half: ", "#~ noise ~#\r\n\r\n"})
+    void bytesOnAnIdleConnectionConfirmNoOtherBatch(final String tail) {
+        begin((request, peer) -> peer.write(request.contains("m2") ? UNAVAILABLE : CONFIRMED));
+        owe("m1");
+        notices.flush();
+        untilConfirmed("m1");
+        loop.pass(REST_MS);
+        platform.peers.get(0).write(tail);
+        loop.settle();
+        owe("m2");
+        notices.flush();
+        loop.pass(2 * RULE_MS);
+        assertEquals(List.of("m1"), confirmed);
+        assertTrue(platform.requests.stream().anyMatch(request -> request.contains("m2")));
+    }
+
     /** A confirmation that is no HTTP/1.1 once counted, so a notice that the platform had not recorded was forgotten. */
     @ParameterizedTest
     @ValueSource(
