Bytes that an endpoint's system holds back behind an answer answer no other call

Seen: in a test, an endpoint writes a second copy of its answer, half an answer or a refusal by itself straight behind a good answer. The next call over that connection got it as its answer: a message whose own call was cut off counted as delivered (lost), or a message that may not be repeated counted as refused and was called twice.

Cause: the endpoint's system keeps a small packet until the one before is acknowledged (Nagle). The rest of 5 ms and the look before the write find nothing yet; the call itself releases the bytes, which come in right behind it.

Evidence: the test fails without a delay of its own, on the eighth call of a connection; a copy in the same write, or in the same read, never did (14 guards), so it is not the decoder.

Change: with each answer the system is told to acknowledge at once (TCP_QUICKACK; where there is no such option the rest is all there is). Also for the platform's connection.

Why it works: what was held back then comes within a round trip, in the rest, and ends the connection before the next call.

Measured: AnswerTailTest#aTailThatTheSystemHoldsBackAnswersNoOtherCall failed before in 3 of 4 forms, passes now; connections without a tail are still used again.

--- a/src/main/java/driftchute/node/EndpointChannel.java
+++ b/src/main/java/driftchute/node/EndpointChannel.java
@@ -4,6 +4,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import jdk.net.ExtendedSocketOptions;
 
 /**
  * A connection for calls to an endpoint, or for notices, that supports a stale check. The event loop notices what has
@@ -29,6 +30,23 @@
         }
     }
 
+    /**
+     * Acknowledges at once what has been read. Otherwise the system may do so up to 0.2 s later or with the next call,
+     * and for so long the peer's system holds back bytes behind an answer (Nagle's algorithm). Released by the next call,
+     * they would arrive as its answer.
+     */
+    void acknowledgeNow() {
+        if (!javaChannel().supportedOptions().contains(ExtendedSocketOptions.TCP_QUICKACK)) {
+            return;
+        }
+        try {
+            javaChannel().setOption(ExtendedSocketOptions.TCP_QUICKACK, true);
+        } catch (final IOException | UnsupportedOperationException e) {
+            // The connection has ended, which its next use notices, or the system refuses the option.
+            return;
+        }
+    }
+
     /**
      * Reads and handles what has arrived before the event loop's next turn would. Only on the event loop's thread, and
      * not while this connection is being read.
--- a/src/main/java/driftchute/node/EndpointClient.java
+++ b/src/main/java/driftchute/node/EndpointClient.java
@@ -682,6 +682,7 @@
             if (keepAlive && done.written && listed && !done.pool.closing && !closeAfterUse) {
                 idleSinceUs = clock.nowUs();
                 done.pool.idle.addLast(this);
+                ((EndpointChannel) context.channel()).acknowledgeNow();
             } else {
                 context.close();
             }
--- a/src/main/java/driftchute/node/NoticeSender.java
+++ b/src/main/java/driftchute/node/NoticeSender.java
@@ -272,6 +272,7 @@
         private void rest() {
             awaitsAnswer = false;
             resting = true;
+            ((EndpointChannel) channel).acknowledgeNow();
             loop.schedule(() -> resting = false, EndpointChannel.REST_US, TimeUnit.MICROSECONDS);
         }
 
--- a/src/test/java/driftchute/node/AnswerTailTest.java
+++ b/src/test/java/driftchute/node/AnswerTailTest.java
@@ -118,6 +118,31 @@
         assertEquals(2, rig.first.requests.size());
     }
 
+    /**
+     * The endpoint writes the bytes by themselves, and its system holds them back until the answer is acknowledged. If
+     * the next call were the acknowledgement, they would arrive as its answer.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {DELIVERED, REFUSED, HALF, NOISE})
+    void aTailThatTheSystemHoldsBackAnswersNoOtherCall(final String tail) throws Exception {
+        rig.first.script((request, connection) -> {
+            if (rig.first.requests.size() <= CALLS) {
+                connection.write(DELIVERED);
+            }
+            if (rig.first.requests.size() == CALLS) {
+                connection.write(tail);
+            } else if (rig.first.requests.size() > CALLS) {
+                connection.reset();
+            }
+        });
+        courier.start();
+        for (int number = 1; number <= CALLS; number++) {
+            deliver("m" + number);
+        }
+        assertTheNextCallHasNoAnswer("last");
+        assertEquals(CALLS + 1, rig.first.requests.size());
+    }
+
     /** The connections of answers without a tail are used again. */
     @Test
     void anAnswerWithoutATailKeepsItsConnection() throws Exception {
