Test of a handover's excess connections opens its idle crowd at once, within their 2 s

Cause: the test opened fourteen idle connections one after the other, each awaited. Not the courier's fault: the 2 s are its rule.

Change: the connections are opened together and awaited together. The handover, the unread request and what must be closed are as before.

--- a/src/test/java/driftchute/node/IdleCloseCrossingTest.java
+++ b/src/test/java/driftchute/node/IdleCloseCrossingTest.java
@@ -287,9 +287,16 @@
         try (Socket used = connect();
                 Socket asks = accepted()) {
             assertEquals(200, CourierHarness.send(used, UP).status());
+            // One by one they could take longer than the time that a connection has for its first request.
             for (int count = 0; count < 14; count++) {
-                crowd.add(accepted());
+                crowd.add(connect());
             }
+            for (final Socket idle : crowd) {
+                idle.getOutputStream().write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            }
+            rig.await(
+                    "their accept",
+                    () -> crowd.stream().allMatch(idle -> unread(idle).equals(NOTHING)));
             onLoop(() -> {
                 leaveUnread(asks, CourierHarness.message("asks", "safe"));
                 intake.handOver();
