--- a/src/test/java/driftchute/node/IdleCloseCrossingTest.java
+++ b/src/test/java/driftchute/node/IdleCloseCrossingTest.java
@@ -16,8 +16,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -269,14 +271,21 @@
         }
     }
 
-    /** True while the courier has its end of a connection open. */
-    private static boolean isOpenAtCourier(final Socket socket) {
-        final String here = ":%04X".formatted(socket.getLocalPort());
-        final String there = ":%04X".formatted(socket.getPort());
-        return Stream.of("/proc/net/tcp", "/proc/net/tcp6")
+    /** Number of connections whose end at the courier is open. */
+    private static long countOpenAtCourier(final List<Socket> connections) {
+        final Set<String> open = Stream.of("/proc/net/tcp", "/proc/net/tcp6")
                 .flatMap(IdleCloseCrossingTest::lines)
                 .map(line -> line.trim().split("\\s+"))
-                .anyMatch(line -> line[1].endsWith(there) && line[2].endsWith(here) && line[3].equals(ESTABLISHED));
+                .filter(line -> line[3].equals(ESTABLISHED))
+                .map(line -> portOf(line[1]) + ">" + portOf(line[2]))
+                .collect(Collectors.toSet());
+        return connections.stream()
+                .filter(socket -> open.contains("%04X>%04X".formatted(socket.getPort(), socket.getLocalPort())))
+                .count();
+    }
+
+    private static String portOf(final String address) {
+        return address.substring(address.indexOf(':') + 1);
     }
 
     /** An upgrade: the successor has its full share of the descriptors for clients while this process ends. */
@@ -297,19 +306,17 @@
             rig.await(
                     "their accept",
                     () -> crowd.stream().allMatch(idle -> unread(idle).equals(NOTHING)));
-            onLoop(() -> {
+            // Counted in the same turn, because each of them is closed 2 s after it came up in any case.
+            final long open = onLoop(() -> {
+                assertEquals(crowd.size(), countOpenAtCourier(crowd));
                 leaveUnread(asks, CourierHarness.message("asks", "safe"));
                 intake.handOver();
-                return null;
+                return countOpenAtCourier(crowd);
             });
+            // Six in total: the one that was used, the one with a request, and four of those that never sent one.
+            assertEquals(4, open);
             assertEquals(202, CourierHarness.read(asks.getInputStream()).status());
             assertEquals(200, CourierHarness.send(used, UP).status());
-            // Six in total: the one that was used, the one with a request, and four of those that never sent one.
-            assertEquals(
-                    4,
-                    crowd.stream()
-                            .filter(IdleCloseCrossingTest::isOpenAtCourier)
-                            .count());
         } finally {
             for (final Socket socket : crowd) {
                 socket.close();
