--- a/src/main/java/driftchute/node/EndpointClient.java
+++ b/src/main/java/driftchute/node/EndpointClient.java
@@ -693,13 +693,26 @@
             final long waitUs = waitUs(head);
             applyWait(done, waitUs);
             final MessageOutcome outcome = outcomeOf(head, waitUs);
-            if (done.hasSeveralMessages() && head.status().code() == OK) {
+            if (!done.hasSeveralMessages()) {
+                reportOutcome(done, outcome);
+            } else if (outcome.result() == Result.DELIVERED) {
                 reportEachOutcome(done, outcome);
             } else {
-                reportOutcome(done, outcome);
+                reportOutcome(done, outcomeOfAll(outcome, waitUs));
             }
         }
 
+        /**
+         * The outcome of each of several messages by the status alone. 410 and 504 answer single messages only
+         * (PROTOCOL-irishead.md, Couriers to endpoints), so to several they prove nothing.
+         */
+        private MessageOutcome outcomeOfAll(final MessageOutcome byStatus, final long waitUs) {
+            final int status = head.status().code();
+            return status == GONE || status == GATEWAY_TIMEOUT
+                    ? new MessageOutcome(Result.ERROR, false, waitUs, byStatus.reportedLimit())
+                    : byStatus;
+        }
+
         /**
          * Handles the end of the connection, or a failure that makes it unusable. An answer that cannot be parsed is
          * still an answer: the destination is running and has done its work, so this counts as an error and not as a
--- a/src/test/java/driftchute/node/CallCrossingTest.java
+++ b/src/test/java/driftchute/node/CallCrossingTest.java
@@ -193,6 +193,21 @@
         assertEquals(1, rig.first.requests.size(), "they may have been executed, so they are not sent again");
     }
 
+    /**
+     * PROTOCOL-irishead.md has no 410 or 504 to several messages. Either may hide that a message was executed, and 410
+     * would end all of them without a notice.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {410, 504, 404})
+    void aStatusThatAnswersSingleMessagesOnlyMeansThatSeveralMayHaveBeenExecuted(final int status) throws IOException {
+        shareACall("once").answer(status, "");
+        rig.await(
+                "their ends, or another call",
+                () -> rig.noticed("m1", "undeliverable") && rig.noticed("m2", "undeliverable")
+                        || rig.first.requests.size() > 1);
+        assertEquals(1, rig.first.requests.size(), "they may have been executed, so they are not sent again");
+    }
+
     /** A list that names a message twice with different states says nothing about it. */
     @Test
     void twoStatesOfOneMessageSayNothingAboutIt() throws IOException {
