--- a/src/main/java/driftchute/node/EndpointClient.java
+++ b/src/main/java/driftchute/node/EndpointClient.java
@@ -1,14 +1,9 @@
 package driftchute.node;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import driftchute.Courier;
 import driftchute.Courier.Result;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,21 +11,16 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -44,7 +34,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /**
@@ -54,7 +43,6 @@
  */
 final class EndpointClient {
     private static final long US_PER_MS = 1000;
-    private static final double US_PER_SECOND = 1_000_000;
     private static final int MAX_BODY_BYTES = 1 << 16;
     /**
      * Share of the endpoints' own idle time-out after which an idle connection is closed, so that no request crosses
@@ -64,13 +52,6 @@
     /** Share of the descriptors for connections to endpoints. The rest is for clients and the process. */
     private static final double SOCKET_SHARE = 0.4;
 
-    private static final int OK = 200;
-    private static final int FIRST_FINAL_STATUS = 200;
-    private static final int GONE = 410;
-    private static final int TOO_MANY_REQUESTS = 429;
-    private static final int UNAVAILABLE = 503;
-    private static final int GATEWAY_TIMEOUT = 504;
-
     /**
      * Maximum time from an answer's first byte to its last, ms. The endpoint has the whole answer when it begins to
      * send.
@@ -78,22 +59,11 @@
     private static final long ANSWER_COMPLETION_MS = 500;
     /** Delay before a call tries again to get a descriptor or permission to be written, us. */
     private static final long RETRY_DELAY_US = 20_000;
-    /** A number in an answer: no sign, exponent or word. */
-    private static final Pattern NUMBER = Pattern.compile("\\d{1,12}(\\.\\d{1,18})?");
-    /**
-     * Upper bounds for reported waits (an hour) and limits (a million calls per second). Higher values are not
-     * believed.
-     */
-    private static final double MAX_WAIT_SECONDS = 3600;
-
-    private static final double MAX_RATE = 1e6;
-    private static final double MAX_UNUSED_SHARE = 2;
 
     private final Clock clock;
     private final EventLoop loop;
     private final DeliveryService host;
     private final Bootstrap bootstrap;
-    private final ObjectMapper json = new ObjectMapper();
     private final long idleTimeoutUs;
     private final long connectTimeoutUs;
     private final Map<Long, ConnectionPool> pools = new HashMap<>();
@@ -492,7 +462,7 @@
         /** The status line of the answer as soon as it has arrived, and its complete head. */
         private HttpResponse statusLine;
 
-        private HttpResponse head;
+        private AnswerHead head;
         private boolean keepAlive;
         private ByteArrayOutputStream body = new ByteArrayOutputStream();
         /** Time-out of an answer that has begun. */
@@ -525,13 +495,20 @@
             statusLine = null;
             head = null;
             body = new ByteArrayOutputStream(0);
-            context.writeAndFlush(request(call)).addListener(done -> {
+            context.writeAndFlush(requestOf(call)).addListener(done -> {
                 if (done.isSuccess()) {
                     next.written = true;
                 }
             });
         }
 
+        private FullHttpRequest requestOf(final Call of) {
+            return CallRequest.create(
+                    of.items.stream().map(item -> item.message().journaled).toList(),
+                    of.pool.address.getHostString(),
+                    (of.deadlineUs - clock.nowUs()) / US_PER_MS);
+        }
+
         private boolean isStale() {
             return ((EndpointChannel) context.channel()).isStale();
         }
@@ -559,7 +536,7 @@
                 return;
             }
             if (part instanceof HttpResponse response) {
-                head = response;
+                head = new AnswerHead(response);
                 keepAlive = HttpUtil.isKeepAlive(response);
             }
             if (!isReadable(part)) {
@@ -575,7 +552,7 @@
             }
             if (part instanceof LastHttpContent && head != null) {
                 cancelAnswerTimeout();
-                if (head.status().code() >= FIRST_FINAL_STATUS) {
+                if (head.isFinal()) {
                     onAnswerComplete();
                 } else {
                     statusLine = null;
@@ -595,9 +572,7 @@
          */
         private void onUnreadable(final HttpObject part) {
             logUnreadable(
-                    call,
-                    head == null ? 0 : head.status().code(),
-                    part.decoderResult().cause());
+                    call, head == null ? 0 : head.status(), part.decoderResult().cause());
             onBroken(Result.ERROR);
         }
 
@@ -643,24 +618,23 @@
         private boolean isDelivered(final Call of) {
             return of == call
                     && statusLine != null
-                    && statusLine.status().code() == OK
+                    && new AnswerHead(statusLine).isOk()
                     && of.written
-                    && !of.hasSeveralMessages()
-                    && statusLine.protocolVersion().majorVersion() == 1;
+                    && !of.hasSeveralMessages();
         }
 
         /**
          * The wait in a call's answer if its head is complete. It applies whatever happens to the rest of the answer.
          */
         private long waitOf(final Call of) {
-            return of == call && head != null ? waitUs(head) : 0;
+            return of == call && head != null ? head.waitUs() : 0;
         }
 
         /**
          * The outcome of a delivery whose answer was cut off. Waits and reports are used only if the head is complete.
          */
         private MessageOutcome deliveredOutcome() {
-            return head == null ? new MessageOutcome(Result.DELIVERED, true, 0, null) : outcomeOf(head, waitUs(head));
+            return head == null ? new MessageOutcome(Result.DELIVERED, true, 0, null) : head.outcome();
         }
 
         private void read(final ByteBuf content) {
@@ -686,29 +660,17 @@
             } else {
                 context.close();
             }
-            final long waitUs = waitUs(head);
-            applyWait(done, waitUs);
-            final MessageOutcome outcome = outcomeOf(head, waitUs);
+            final AnswerHead answer = head;
+            applyWait(done, answer.waitUs());
             if (!done.hasSeveralMessages()) {
-                reportOutcome(done, outcome);
-            } else if (outcome.result() == Result.DELIVERED) {
-                reportEachOutcome(done, outcome);
+                reportOutcome(done, answer.outcome());
+            } else if (answer.isOk()) {
+                reportEachOutcome(done, answer);
             } else {
-                reportOutcome(done, outcomeOfAll(outcome, waitUs));
+                reportOutcome(done, answer.outcomeOfEach());
             }
         }
 
-        /**
-         * The outcome of each of several messages by the status alone. 410 and 504 answer single messages only
-         * (PROTOCOL-irishead.md, Couriers to endpoints), so to several they prove nothing.
-         */
-        private MessageOutcome outcomeOfAll(final MessageOutcome byStatus, final long waitUs) {
-            final int status = head.status().code();
-            return status == GONE || status == GATEWAY_TIMEOUT
-                    ? new MessageOutcome(Result.ERROR, false, waitUs, byStatus.reportedLimit())
-                    : byStatus;
-        }
-
         /**
          * Handles the end of the connection, or a failure that makes it unusable. An answer that cannot be parsed is
          * still an answer: the destination is running and has done its work, so this counts as an error and not as a
@@ -740,29 +702,29 @@
          * The same holds for messages accepted after the deadline of one of them: the call should have been given up by
          * then and does not count as answered.
          */
-        private void reportEachOutcome(final Call done, final MessageOutcome whole) {
-            final BulkAnswer answer = parseBulkAnswer(done);
+        private void reportEachOutcome(final Call done, final AnswerHead answer) {
+            final BulkAnswer states = parseBulkAnswer(done, answer);
             final long nowUs = clock.nowUs();
             final boolean late = done.items.stream().anyMatch(item -> item.message().validUntilUs <= nowUs);
             for (final DeliveryService.CallItem item : done.items) {
-                final BulkAnswer.State state = answer.stateOf(item.message().journaled);
-                host.onOutcome(item, done, outcomeOfState(state, late, whole));
+                final BulkAnswer.State state = states.stateOf(item.message().journaled);
+                host.onOutcome(item, done, outcomeOf(answer, state, late));
             }
         }
 
-        private BulkAnswer parseBulkAnswer(final Call done) {
+        private BulkAnswer parseBulkAnswer(final Call done, final AnswerHead answer) {
             final Set<String> ids =
                     done.items.stream().map(item -> item.message().journaled.id).collect(Collectors.toSet());
             try {
                 return BulkAnswer.parse(body.toByteArray(), ids);
             } catch (final IOException e) {
-                logUnreadable(done, OK, e);
+                logUnreadable(done, answer.status(), e);
                 return BulkAnswer.unreadable();
             }
         }
 
-        private static MessageOutcome outcomeOfState(
-                final BulkAnswer.State state, final boolean late, final MessageOutcome whole) {
+        private static MessageOutcome outcomeOf(
+                final AnswerHead answer, final BulkAnswer.State state, final boolean late) {
             final Result result =
                     switch (state) {
                         case ACCEPTED -> late ? Result.TIMED_OUT : Result.DELIVERED;
@@ -771,7 +733,7 @@
                         case UNKNOWN -> Result.ERROR;
                     };
             final boolean isFinal = state == BulkAnswer.State.ACCEPTED && !late || state == BulkAnswer.State.EXPIRED;
-            return new MessageOutcome(result, isFinal, whole.waitUs(), whole.reportedLimit());
+            return answer.outcome(result, isFinal);
         }
 
         @Override
@@ -787,96 +749,4 @@
             onBroken(Result.RESET);
         }
     }
-
-    // ---------------------------------------------------------------- requests and answers
-
-    private FullHttpRequest request(final Call call) {
-        final byte[] body = call.hasSeveralMessages()
-                ? bulkBody(call)
-                : call.items.get(0).message().journaled.body();
-        final FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                HttpMethod.POST,
-                call.hasSeveralMessages() ? "/inbox/bulk" : "/inbox",
-                Unpooled.wrappedBuffer(body));
-        request.headers().set(HttpHeaderNames.HOST, call.pool.address.getHostString());
-        request.headers().set("X-Timeout-Ms", Math.max(1, (call.deadlineUs - clock.nowUs()) / US_PER_MS));
-        request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        if (call.hasSeveralMessages()) {
-            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        } else {
-            final JournaledMessage held = call.items.get(0).message().journaled;
-            request.headers().set("X-Request-ID", held.id);
-            if (held.idempotencyKey != null) {
-                request.headers().set("Idempotency-Key", held.idempotencyKey);
-            }
-        }
-        return request;
-    }
-
-    private byte[] bulkBody(final Call call) {
-        final ArrayNode items = json.createArrayNode();
-        for (final DeliveryService.CallItem item : call.items) {
-            final JournaledMessage held = item.message().journaled;
-            final ObjectNode entry = items.addObject().put("id", held.id);
-            if (held.idempotencyKey != null) {
-                entry.put("key", held.idempotencyKey);
-            }
-            entry.put("body", held.body());
-        }
-        try {
-            return json.writeValueAsString(items).getBytes(StandardCharsets.UTF_8);
-        } catch (final JsonProcessingException e) {
-            throw new IllegalStateException("writing to memory failed", e);
-        }
-    }
-
-    private static MessageOutcome outcomeOf(final HttpResponse head, final long waitUs) {
-        final Courier.ReportedLimit reportedLimit =
-                parseReportedLimit(head.headers().get("X-Server-Load"));
-        final boolean lineBusy = "1".equals(head.headers().get("X-Line-Busy"));
-        return switch (head.status().code()) {
-            case OK -> new MessageOutcome(Result.DELIVERED, true, waitUs, reportedLimit);
-            case TOO_MANY_REQUESTS -> new MessageOutcome(Result.REFUSED, false, waitUs, reportedLimit);
-            case UNAVAILABLE ->
-                new MessageOutcome(lineBusy ? Result.NOT_SENT : Result.REFUSED, false, waitUs, reportedLimit);
-            case GATEWAY_TIMEOUT -> new MessageOutcome(Result.NOT_SENT, false, waitUs, reportedLimit);
-            case GONE -> new MessageOutcome(Result.NOT_SENT, true, waitUs, reportedLimit);
-            default -> new MessageOutcome(Result.ERROR, false, waitUs, reportedLimit);
-        };
-    }
-
-    /** The wait that an answer asks for, in seconds with decimals, as us; 0 if there is none or it cannot be parsed. */
-    private static long waitUs(final HttpResponse head) {
-        final double seconds = parseNumber(head.headers().get(HttpHeaderNames.RETRY_AFTER));
-        return seconds >= 0 ? (long) Math.ceil(Math.min(seconds, MAX_WAIT_SECONDS) * US_PER_SECOND) : 0;
-    }
-
-    /** The limit that a destination reported; null if it reported none, or none that can be parsed. */
-    private static Courier.ReportedLimit parseReportedLimit(final String report) {
-        if (report == null) {
-            return null;
-        }
-        double unusedShare = -1;
-        double callsPerSecond = -1;
-        for (final String field : report.split(",")) {
-            final String value = field.substring(field.indexOf('=') + 1);
-            if (field.trim().startsWith("x0=")) {
-                unusedShare = parseNumber(value);
-            } else if (field.trim().startsWith("x1=")) {
-                callsPerSecond = parseNumber(value);
-            }
-        }
-        // A share slightly above one is noise; far above it is invalid.
-        final boolean valid = unusedShare >= 0
-                && unusedShare <= MAX_UNUSED_SHARE
-                && callsPerSecond >= 0
-                && callsPerSecond <= MAX_RATE;
-        return valid ? new Courier.ReportedLimit(Math.min(1, unusedShare), callsPerSecond) : null;
-    }
-
-    /** A number in an answer, or -1 if there is none. */
-    private static double parseNumber(final String text) {
-        return text != null && NUMBER.matcher(text.trim()).matches() ? Double.parseDouble(text.trim()) : -1;
-    }
 }
