One connection of a client, its request, buffers and reserved ids are classes of their own

Change: moved as they are to ClientConnection, ClientRequest, RequestBuffers and ReservedIds; behaviour unchanged. BadClientTest calls deliveryTimeUs at its new place.

--- /dev/null
+++ b/src/main/java/driftchute/node/ClientConnection.java
@@ -0,0 +1,534 @@
+package driftchute.node;
+
+import driftchute.Courier;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+
+/**
+ * One connection of a client: reads its requests, serves them in order, and answers each. Runs on the event loop's
+ * thread.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter implements RequestDecoder.Listener {
+    static final int TOO_MANY_REQUESTS = 429;
+    static final int UNAVAILABLE = 503;
+    /** The highest {@link #usefulness}: a request is open, or was a moment ago. */
+    static final int IN_USE = 4;
+
+    private static final int ACCEPTED = 202;
+    private static final int INTERNAL_ERROR = 500;
+    private static final int MAX_BODY_BYTES = 1 << 16;
+    private static final int MAX_ID_CHARS = 128;
+    /** Maximum number of complete requests queued on one connection. Further requests stay unread until then. */
+    private static final int MAX_QUEUED_REQUESTS = 16;
+
+    private static final long REFUSED_RETRY_AFTER_US = 500_000;
+    /** Time after a message's deadline in which its id is not accepted again. Its last call is over by then. */
+    private static final long ID_RESERVED_US = 1_000_000;
+
+    private static final double US_PER_SECOND = 1_000_000;
+
+    private final ClientServer server;
+    private final Clock clock;
+    private final DeliveryService host;
+    private final RequestBuffers buffers;
+    private final ReservedIds reservedIds;
+    private final RequestDecoder decoder = new RequestDecoder(this);
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    /** The part of a body received so far; empty once the request is complete. */
+    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+
+    private final Deque<ClientRequest> queue = new ArrayDeque<>();
+    private int queuedBytes;
+    private ClientRequest current;
+    private String currentId;
+    private boolean readingBody;
+    /**
+     * The client waits for 100 Continue before sending the body (RFC 9110, 10.1.1). It is sent when the request's
+     * turn comes.
+     */
+    private boolean expectsContinue;
+
+    private boolean hasSentRequest;
+    /** The status for a request that is not read to its end, sent when all requests before it are answered. */
+    private HttpResponseStatus rejectionStatus;
+    /** No further request is read from this connection. */
+    private boolean inputClosed;
+    /** The last answer has been sent. */
+    private boolean lastAnswerSent;
+    /** Requests that were read and not answered yet are refused, each with its answer. */
+    private boolean refusing;
+    /** Since when the client has not read its answers; {@code Long.MAX_VALUE} if it does. */
+    private long stalledSinceUs = Long.MAX_VALUE;
+    /** Since when the connection has been idle, and since when a request has been arriving. */
+    private long idleFromUs;
+
+    private long requestBeganUs = Long.MAX_VALUE;
+    /** When bytes last arrived. */
+    private long lastReadUs;
+
+    ClientConnection(final ClientServer server) {
+        this.server = server;
+        this.clock = server.clock();
+        this.host = server.host();
+        this.buffers = server.buffers();
+        this.reservedIds = server.reservedIds();
+        this.idleFromUs = clock.nowUs();
+    }
+
+    /** Adds this connection's handlers to its channel. */
+    void addTo(final Channel channel) {
+        channel.pipeline().addLast(decoder, new HttpResponseEncoder(), this);
+    }
+
+    /**
+     * Since when nothing has arrived, so that a slow client is not mistaken for one that stopped in the middle of a
+     * request.
+     */
+    long silentSinceUs() {
+        return Math.max(idleFromUs, lastReadUs);
+    }
+
+    /** Start of the idle time. For a connection that was used, it starts anew when the process begins to stop. */
+    long idleSinceUs() {
+        return hasSentRequest ? Math.max(idleFromUs, server.stoppingSinceUs()) : idleFromUs;
+    }
+
+    boolean isIdle() {
+        return requestBeganUs == Long.MAX_VALUE && current == null && queue.isEmpty() && !inputClosed;
+    }
+
+    /**
+     * True if more requests behind the current one are waiting, or may be, for an answer. After {@code Connection:
+     * close} a client sends nothing more, and what is unread stays unread.
+     */
+    private boolean mayHaveMoreRequests() {
+        return !queue.isEmpty()
+                || rejectionStatus != null
+                || !inputClosed
+                        && HttpUtil.isKeepAlive(current.head())
+                        && (requestBeganUs != Long.MAX_VALUE || decoder.mayHaveMore());
+    }
+
+    /**
+     * Reads bytes that arrived since the event loop last polled its sockets, because closing a socket with unread
+     * bytes would reset the connection. A request that arrives after this crosses the close and is not accepted.
+     */
+    void readPending() {
+        if (context.channel().isActive() && context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+    }
+
+    int usefulness(final long idleBeforeUs) {
+        if (lastAnswerSent) {
+            return 0;
+        }
+        if (stalledSinceUs == Long.MAX_VALUE && (current != null || !queue.isEmpty())) {
+            return IN_USE;
+        }
+        if (isIdle()) {
+            return !hasSentRequest ? 1 : idleFromUs <= idleBeforeUs ? IN_USE - 1 : IN_USE;
+        }
+        return 2;
+    }
+
+    /** Closes the connection at once and stops counting it now; its close is reported only after this pass. */
+    void closeNow() {
+        server.remove(this);
+        context.close();
+    }
+
+    @Override
+    public void channelActive(final ChannelHandlerContext ctx) {
+        context = ctx;
+        server.add(this);
+    }
+
+    @Override
+    public void channelInactive(final ChannelHandlerContext ctx) {
+        server.remove(this);
+        buffers.release(body.size() + queuedBytes);
+        queuedBytes = 0;
+        body = new ByteArrayOutputStream(0);
+        queue.clear();
+        if (currentId != null) {
+            host.withdraw(currentId);
+        }
+    }
+
+    /**
+     * Handles the client's end of input. A client without an answer has most likely given up, so its message is
+     * withdrawn; since it may have closed only its sending side, it still gets an answer.
+     */
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext ctx, final Object event) {
+        if (event != ChannelInputShutdownEvent.INSTANCE || lastAnswerSent) {
+            return;
+        }
+        if (current == null && queue.isEmpty()) {
+            closeIdle();
+            return;
+        }
+        inputClosed = true;
+        refusing = true;
+        if (currentId != null) {
+            final String id = currentId;
+            host.withdraw(id);
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, REFUSED_RETRY_AFTER_US);
+        }
+    }
+
+    @Override
+    public void onBytes() {
+        lastReadUs = clock.nowUs();
+    }
+
+    @Override
+    public void onRequestBegun() {
+        requestBeganUs = clock.nowUs();
+    }
+
+    @Override
+    public boolean canDecode() {
+        return queue.size() < MAX_QUEUED_REQUESTS && context.channel().isWritable();
+    }
+
+    /** Stops reading from a client that does not read its answers, until it does. */
+    @Override
+    public void channelWritabilityChanged(final ChannelHandlerContext ctx) {
+        if (!lastAnswerSent) {
+            stalledSinceUs = ctx.channel().isWritable() ? Long.MAX_VALUE : clock.nowUs();
+            ctx.executor().execute(this::resumeReading);
+        }
+    }
+
+    @Override
+    public void channelRead(final ChannelHandlerContext ctx, final Object part) {
+        try {
+            if (part instanceof HttpObject object && !inputClosed) {
+                read(object);
+            }
+        } finally {
+            ReferenceCountUtil.release(part);
+        }
+    }
+
+    private void read(final HttpObject part) {
+        if (part.decoderResult().isFailure()) {
+            final Throwable cause = part.decoderResult().cause();
+            reject(
+                    cause instanceof TooLongHttpLineException
+                            ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                            : cause instanceof TooLongHttpHeaderException
+                                    ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                                    : HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        if (part instanceof HttpRequest request) {
+            head = request;
+            readingBody = true;
+            if (!RequestDecoder.hasSingleFraming(request)) {
+                reject(HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
+            if (HttpUtil.getContentLength(request, 0L) > MAX_BODY_BYTES) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+            expectsContinue = HttpUtil.is100ContinueExpected(request);
+            sendContinue();
+        }
+        if (part instanceof HttpContent content && readingBody) {
+            final int length = content.content().readableBytes();
+            if (body.size() + length > MAX_BODY_BYTES) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                return;
+            }
+            if (!buffers.reserve(length)) {
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                return;
+            }
+            final byte[] bytes = new byte[length];
+            content.content().readBytes(bytes);
+            body.writeBytes(bytes);
+            if (part instanceof LastHttpContent) {
+                enqueueRequest();
+            }
+        }
+    }
+
+    /**
+     * An interim answer has to keep the order as well: sent before an earlier request is answered, it would be
+     * taken for that request's.
+     */
+    private void sendContinue() {
+        if (expectsContinue && current == null && queue.isEmpty() && !inputClosed) {
+            expectsContinue = false;
+            context.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    /** Queues a request that has arrived completely. */
+    private void enqueueRequest() {
+        readingBody = false;
+        expectsContinue = false;
+        hasSentRequest = true;
+        requestBeganUs = Long.MAX_VALUE;
+        queue.add(new ClientRequest(head, body.toByteArray()));
+        queuedBytes += body.size();
+        head = null;
+        body = new ByteArrayOutputStream(0);
+        serveQueue();
+    }
+
+    /** Serves the requests of one connection in order, so that the answers keep their order. */
+    private void serveQueue() {
+        final Channel channel = context.channel();
+        while (current == null && !queue.isEmpty() && !lastAnswerSent && channel.isWritable()) {
+            current = queue.poll();
+            queuedBytes -= current.body().length;
+            buffers.release(current.body().length);
+            serve(current);
+        }
+        if (current == null && queue.isEmpty() && rejectionStatus != null && !lastAnswerSent) {
+            sendRejection();
+        }
+        if (!lastAnswerSent) {
+            sendContinue();
+            final boolean canRead = queue.isEmpty() && channel.isWritable();
+            if (canRead && !channel.config().isAutoRead() && requestBeganUs != Long.MAX_VALUE) {
+                // Reading was paused meanwhile, so the request gets its full time again.
+                requestBeganUs = clock.nowUs();
+            }
+            channel.config().setAutoRead(canRead);
+        }
+    }
+
+    /** Continues after an answer with the next request, and decodes what was read but had to wait. */
+    private void resumeReading() {
+        serveQueue();
+        decoder.decodeRest();
+    }
+
+    private void serve(final ClientRequest request) {
+        if (refusing) {
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, REFUSED_RETRY_AFTER_US);
+            return;
+        }
+        final String uri = request.head().uri();
+        final int query = uri.indexOf('?');
+        final String path = query < 0 ? uri : uri.substring(0, query);
+        if (path.equals("/up")) {
+            if (!request.head().method().equals(HttpMethod.GET)) {
+                answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
+            } else {
+                answer(server.isUp() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+            }
+            return;
+        }
+        final String className = path.substring(Math.min(path.length(), 1)).split("/", 2)[0];
+        final Courier.MessageClass messageClass = host.messageClass(className);
+        if (messageClass == null) {
+            answer(HttpResponseStatus.NOT_FOUND, 0);
+        } else if (!request.head().method().equals(HttpMethod.POST)) {
+            answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
+        } else {
+            submit(request, messageClass);
+        }
+    }
+
+    private void submit(final ClientRequest request, final Courier.MessageClass messageClass) {
+        final HttpHeaders headers = request.head().headers();
+        final String id = headers.get("X-Request-ID", "");
+        final long timeoutMs = ClientRequest.parseNonNegative(headers.get("X-Timeout-Ms"));
+        final long destination = ClientRequest.parseDestination(headers.get("X-Consignee"));
+        final String key = headers.get("Idempotency-Key");
+        final boolean needsKey = messageClass.effect() == Courier.Effect.KEYED;
+        if (id.isEmpty()
+                || id.length() > MAX_ID_CHARS
+                || timeoutMs < 0
+                || destination < 0
+                || !messageClass.name().equals(headers.get("X-Priority-Class"))
+                || needsKey && (key == null || key.isEmpty())) {
+            answer(HttpResponseStatus.BAD_REQUEST, 0);
+            return;
+        }
+        if (!host.isKnownDestination(destination)) {
+            answer(HttpResponseStatus.NOT_FOUND, 0);
+            return;
+        }
+        // The call of a message that has just ended or was withdrawn may still be in flight, and the two could not
+        // be told apart.
+        if (host.isOpen(id) || reservedIds.isReserved(id, clock.nowUs())) {
+            answer(HttpResponseStatus.CONFLICT, 0);
+            return;
+        }
+        final long lifeUs = ClientRequest.deliveryTimeUs(timeoutMs, messageClass.deadlineUs());
+        final long validUntilUs = clock.nowUs() + lifeUs;
+        currentId = id;
+        host.offer(
+                new JournaledMessage(
+                        id, messageClass.name(), key, destination, clock.wallUs() + lifeUs, request.body()),
+                validUntilUs,
+                new DeliveryService.Reply() {
+                    @Override
+                    public void accepted() {
+                        reservedIds.reserve(id, validUntilUs + ID_RESERVED_US);
+                        // A client that never receives this answer does not count on it, so its message is
+                        // withdrawn.
+                        answer(HttpResponseStatus.valueOf(ACCEPTED), 0).addListener(done -> {
+                            if (!done.isSuccess()) {
+                                host.withdraw(id);
+                            }
+                        });
+                    }
+
+                    @Override
+                    public void refused(final int status, final long retryAfterUs) {
+                        answer(HttpResponseStatus.valueOf(status), retryAfterUs);
+                    }
+
+                    @Override
+                    public void failed() {
+                        answer(HttpResponseStatus.valueOf(INTERNAL_ERROR), 0);
+                    }
+                });
+    }
+
+    private ChannelFuture answer(final HttpResponseStatus status, final long retryAfterUs) {
+        // A client whose request is wrong is not trusted with what it sends after it.
+        final boolean trusted = status.code() < HttpResponseStatus.BAD_REQUEST.code()
+                || status.code() == TOO_MANY_REQUESTS
+                || status.code() == UNAVAILABLE
+                || status.code() == INTERNAL_ERROR;
+        refusing |= !trusted;
+        final boolean keepAlive =
+                !refusing && HttpUtil.isKeepAlive(current.head()) && !server.isDraining() && !inputClosed;
+        final boolean isLast = !keepAlive && !mayHaveMoreRequests() || status.equals(HttpResponseStatus.BAD_REQUEST);
+        current = null;
+        currentId = null;
+        idleFromUs = clock.nowUs();
+        final var response = response(status);
+        if (retryAfterUs > 0) {
+            response.headers()
+                    .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterUs / US_PER_SECOND));
+        }
+        if (isLast) {
+            return sendLast(response);
+        }
+        final ChannelFuture written = context.writeAndFlush(response);
+        context.executor().execute(this::resumeReading);
+        return written;
+    }
+
+    /** Rejects a request that cannot be read, after all requests before it are answered. */
+    void reject(final HttpResponseStatus status) {
+        rejectionStatus = status;
+        inputClosed = true;
+        readingBody = false;
+        buffers.release(body.size());
+        body = new ByteArrayOutputStream(0);
+        if (current == null && queue.isEmpty()) {
+            sendRejection();
+        }
+    }
+
+    private void sendRejection() {
+        sendLast(response(rejectionStatus));
+    }
+
+    /** Sends the last answer of a connection. */
+    private ChannelFuture sendLast(final DefaultFullHttpResponse response) {
+        response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        return sendLast(context.writeAndFlush(response));
+    }
+
+    /** Closes an idle connection. One that never sent a request has no answer that a reset could overtake. */
+    void closeIdle() {
+        if (hasSentRequest) {
+            sendLast(context.writeAndFlush(Unpooled.EMPTY_BUFFER));
+        } else {
+            closeNow();
+        }
+    }
+
+    private ChannelFuture sendLast(final ChannelFuture written) {
+        inputClosed = true;
+        lastAnswerSent = true;
+        stalledSinceUs = clock.nowUs();
+        buffers.release(queuedBytes);
+        queuedBytes = 0;
+        queue.clear();
+        if (!decoder.isRemoved()) {
+            context.pipeline().remove(decoder);
+        }
+        LingeringClose.after(written);
+        return written;
+    }
+
+    private static DefaultFullHttpResponse response(final HttpResponseStatus status) {
+        final var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        return response;
+    }
+
+    @Override
+    public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            Log.failure("connection of a client", cause);
+        }
+        ctx.close();
+    }
+
+    /** True if a request has begun to arrive and is neither complete nor rejected. */
+    boolean isReceiving() {
+        return requestBeganUs != Long.MAX_VALUE && !inputClosed;
+    }
+
+    /** True if the request that is arriving began before that time. */
+    boolean isReceivingSince(final long beforeUs) {
+        return requestBeganUs <= beforeUs && !inputClosed;
+    }
+
+    /** True if the client has not read its answers since before that time. */
+    boolean isStalledSince(final long beforeUs) {
+        return stalledSinceUs <= beforeUs;
+    }
+
+    /** From now on requests are refused, each with its answer. */
+    void refuseRequests() {
+        refusing = true;
+    }
+
+    /** True once a request has arrived and none was refused for what it was. */
+    boolean isTrusted() {
+        return hasSentRequest && !refusing;
+    }
+}
--- a/src/main/java/driftchute/node/DeliveryService.java
+++ b/src/main/java/driftchute/node/DeliveryService.java
@@ -468,7 +468,7 @@
     void offer(final JournaledMessage journaled, final long validUntilUs, final Reply reply) {
         final int openCount = handingOver ? journal.count() : messages.size() + unresumed.size();
         if (openCount >= config.settings().limits().maxOpenMessages() || !journal.accept(journaled)) {
-            reply.refused(ClientServer.UNAVAILABLE, FULL_RETRY_AFTER_US);
+            reply.refused(ClientConnection.UNAVAILABLE, FULL_RETRY_AFTER_US);
             return;
         }
         if (handingOver) {
@@ -658,7 +658,7 @@
         } else {
             final Reply reply = message.reply;
             complete(message);
-            reply.refused(ClientServer.TOO_MANY_REQUESTS, retryAfterUs);
+            reply.refused(ClientConnection.TOO_MANY_REQUESTS, retryAfterUs);
         }
     }
 
--- /dev/null
+++ b/src/main/java/driftchute/node/RequestBuffers.java
@@ -0,0 +1,25 @@
+package driftchute.node;
+
+/** Bounds the memory of all request bodies that are being received or queued. Runs on the event loop's thread. */
+final class RequestBuffers {
+    private final int maxBytes;
+    private int usedBytes;
+
+    RequestBuffers(final int maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
+    /** Reserves memory; returns false, and reserves nothing, if there is not enough. */
+    boolean reserve(final int bytes) {
+        if (usedBytes + bytes > maxBytes) {
+            return false;
+        }
+        usedBytes += bytes;
+        return true;
+    }
+
+    /** Gives back what was reserved. */
+    void release(final int bytes) {
+        usedBytes -= bytes;
+    }
+}
--- a/src/test/java/driftchute/node/BadClientTest.java
+++ b/src/test/java/driftchute/node/BadClientTest.java
@@ -181,11 +181,11 @@
     /** A message's time runs from its sending: one that waited unread still ends in time. */
     @Test
     void theDeadlineAllowsForTimeAMessageWaitedUnread() {
-        assertEquals(4_800_000, ClientServer.deliveryTimeUs(5000, 12_000_000));
-        assertEquals(11_800_000, ClientServer.deliveryTimeUs(99_000, 12_000_000), "no longer than its class may take");
+        assertEquals(4_800_000, ClientRequest.deliveryTimeUs(5000, 12_000_000));
+        assertEquals(11_800_000, ClientRequest.deliveryTimeUs(99_000, 12_000_000), "no longer than its class may take");
         assertEquals(
-                300_000, ClientServer.deliveryTimeUs(400, 12_000_000), "a short time is not used up by the margin");
-        assertEquals(0, ClientServer.deliveryTimeUs(0, 12_000_000));
+                300_000, ClientRequest.deliveryTimeUs(400, 12_000_000), "a short time is not used up by the margin");
+        assertEquals(0, ClientRequest.deliveryTimeUs(0, 12_000_000));
     }
 
     @Test
