Log why connections end, requests are refused and calls are given back

Change: client_event names the reason with connection number and id (20 lines in 5 s at most), client_events counts all of them with incomplete requests, their bytes, reserved ids and the heap. No decision changed.

--- a/src/main/java/driftchute/node/ClientConnection.java
+++ b/src/main/java/driftchute/node/ClientConnection.java
@@ -57,6 +57,10 @@
     private final DeliveryService host;
     private final RequestBuffers buffers;
     private final ReservedIds reservedIds;
+    private final ClientEventLog events;
+    /** Number of this connection in the log. */
+    private final long number;
+
     private final RequestDecoder decoder = new RequestDecoder(this);
     private ChannelHandlerContext context;
     private HttpRequest head;
@@ -81,6 +85,8 @@
     private boolean inputClosed;
     /** The last answer has been sent. */
     private boolean lastAnswerSent;
+    /** Why this connection ends is logged. */
+    private boolean endLogged;
     /** Requests that were read and not answered yet are refused, each with its answer. */
     private boolean refusing;
     /** Since when the client has not read its answers; {@code Long.MAX_VALUE} if it does. */
@@ -98,6 +104,8 @@
         this.host = server.host();
         this.buffers = server.buffers();
         this.reservedIds = server.reservedIds();
+        this.events = host.events();
+        this.number = server.nextConnectionNumber();
         this.idleFromUs = clock.nowUs();
     }
 
@@ -158,8 +166,17 @@
         return 2;
     }
 
+    /** Logs why the connection ends, once. */
+    private void logEnd(final ClientEvent reason, final String detail) {
+        if (!endLogged) {
+            endLogged = true;
+            events.record(reason, number, detail);
+        }
+    }
+
     /** Closes the connection at once and stops counting it now; its close is reported only after this pass. */
-    void closeNow() {
+    void closeNow(final ClientEvent reason) {
+        logEnd(reason, "");
         server.remove(this);
         context.close();
     }
@@ -172,13 +189,14 @@
 
     @Override
     public void channelInactive(final ChannelHandlerContext ctx) {
+        logEnd(ClientEvent.CLOSED_BY_CLIENT, currentId == null ? "" : currentId);
         server.remove(this);
         buffers.release(body.size() + queuedBytes);
         queuedBytes = 0;
         body = new ByteArrayOutputStream(0);
         queue.clear();
         if (currentId != null) {
-            host.withdraw(currentId);
+            withdraw(currentId);
         }
     }
 
@@ -192,14 +210,14 @@
             return;
         }
         if (current == null && queue.isEmpty()) {
-            closeIdle();
+            closeIdle(ClientEvent.CLOSED_BY_CLIENT);
             return;
         }
         inputClosed = true;
         refusing = true;
         if (currentId != null) {
             final String id = currentId;
-            host.withdraw(id);
+            withdraw(id);
             answer(HttpResponseStatus.SERVICE_UNAVAILABLE, REFUSED_RETRY_AFTER_US);
         }
     }
@@ -247,18 +265,19 @@
                             ? HttpResponseStatus.REQUEST_URI_TOO_LONG
                             : cause instanceof TooLongHttpHeaderException
                                     ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                                    : HttpResponseStatus.BAD_REQUEST);
+                                    : HttpResponseStatus.BAD_REQUEST,
+                    ClientEvent.REJECTED_UNSOUND);
             return;
         }
         if (part instanceof HttpRequest request) {
             head = request;
             readingBody = true;
             if (!RequestDecoder.hasSingleFraming(request)) {
-                reject(HttpResponseStatus.BAD_REQUEST);
+                reject(HttpResponseStatus.BAD_REQUEST, ClientEvent.REJECTED_UNSOUND);
                 return;
             }
             if (HttpUtil.getContentLength(request, 0L) > MAX_BODY_BYTES) {
-                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, ClientEvent.REJECTED_UNSOUND);
                 return;
             }
             expectsContinue = HttpUtil.is100ContinueExpected(request);
@@ -267,11 +286,11 @@
         if (part instanceof HttpContent content && readingBody) {
             final int length = content.content().readableBytes();
             if (body.size() + length > MAX_BODY_BYTES) {
-                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, ClientEvent.REJECTED_UNSOUND);
                 return;
             }
             if (!buffers.reserve(length)) {
-                reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE, ClientEvent.REFUSED_NO_MEMORY);
                 return;
             }
             final byte[] bytes = new byte[length];
@@ -339,6 +358,7 @@
 
     private void serve(final ClientRequest request) {
         if (refusing) {
+            events.record(ClientEvent.REFUSED_CLOSING, number, "");
             answer(HttpResponseStatus.SERVICE_UNAVAILABLE, REFUSED_RETRY_AFTER_US);
             return;
         }
@@ -347,7 +367,7 @@
         final String path = query < 0 ? uri : uri.substring(0, query);
         if (path.equals("/up")) {
             if (!request.head().method().equals(HttpMethod.GET)) {
-                answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
+                rejectUnsound(HttpResponseStatus.METHOD_NOT_ALLOWED);
             } else {
                 answer(server.isUp() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             }
@@ -356,9 +376,9 @@
         final String className = path.substring(Math.min(path.length(), 1)).split("/", 2)[0];
         final Courier.MessageClass messageClass = host.messageClass(className);
         if (messageClass == null) {
-            answer(HttpResponseStatus.NOT_FOUND, 0);
+            rejectUnsound(HttpResponseStatus.NOT_FOUND);
         } else if (!request.head().method().equals(HttpMethod.POST)) {
-            answer(HttpResponseStatus.METHOD_NOT_ALLOWED, 0);
+            rejectUnsound(HttpResponseStatus.METHOD_NOT_ALLOWED);
         } else {
             submit(request, messageClass);
         }
@@ -377,16 +397,17 @@
                 || destination < 0
                 || !messageClass.name().equals(headers.get("X-Priority-Class"))
                 || needsKey && (key == null || key.isEmpty())) {
-            answer(HttpResponseStatus.BAD_REQUEST, 0);
+            rejectUnsound(HttpResponseStatus.BAD_REQUEST);
             return;
         }
         if (!host.isKnownDestination(destination)) {
-            answer(HttpResponseStatus.NOT_FOUND, 0);
+            rejectUnsound(HttpResponseStatus.NOT_FOUND);
             return;
         }
         // The call of a message that has just ended or was withdrawn may still be in flight, and the two could not
         // be told apart.
         if (host.isOpen(id) || reservedIds.isReserved(id, clock.nowUs())) {
+            events.record(ClientEvent.REFUSED_REPEATED_ID, number, id);
             answer(HttpResponseStatus.CONFLICT, 0);
             return;
         }
@@ -405,23 +426,36 @@
                         // withdrawn.
                         answer(HttpResponseStatus.valueOf(ACCEPTED), 0).addListener(done -> {
                             if (!done.isSuccess()) {
-                                host.withdraw(id);
+                                withdraw(id);
                             }
                         });
                     }
 
                     @Override
                     public void refused(final int status, final long retryAfterUs) {
+                        events.record(ClientEvent.REFUSED_MESSAGE, number, id);
                         answer(HttpResponseStatus.valueOf(status), retryAfterUs);
                     }
 
                     @Override
                     public void failed() {
+                        events.record(ClientEvent.FAILED_MESSAGE, number, id);
                         answer(HttpResponseStatus.valueOf(INTERNAL_ERROR), 0);
                     }
                 });
     }
 
+    /** The client left before it had its answer, so it does not count on the message. */
+    private void withdraw(final String id) {
+        events.record(ClientEvent.WITHDRAWN, number, id);
+        host.withdraw(id);
+    }
+
+    private void rejectUnsound(final HttpResponseStatus status) {
+        events.record(ClientEvent.REJECTED_UNSOUND, number, status.codeAsText().toString());
+        answer(status, 0);
+    }
+
     private ChannelFuture answer(final HttpResponseStatus status, final long retryAfterUs) {
         // A client whose request is wrong is not trusted with what it sends after it.
         final boolean trusted = status.code() < HttpResponseStatus.BAD_REQUEST.code()
@@ -449,7 +483,8 @@
     }
 
     /** Rejects a request that cannot be read, after all requests before it are answered. */
-    void reject(final HttpResponseStatus status) {
+    void reject(final HttpResponseStatus status, final ClientEvent reason) {
+        logEnd(reason, status.codeAsText().toString());
         rejectionStatus = status;
         inputClosed = true;
         readingBody = false;
@@ -471,15 +506,17 @@
     }
 
     /** Closes an idle connection. One that never sent a request has no answer that a reset could overtake. */
-    void closeIdle() {
+    void closeIdle(final ClientEvent reason) {
+        logEnd(reason, "");
         if (hasSentRequest) {
             sendLast(context.writeAndFlush(Unpooled.EMPTY_BUFFER));
         } else {
-            closeNow();
+            closeNow(reason);
         }
     }
 
     private ChannelFuture sendLast(final ChannelFuture written) {
+        logEnd(ClientEvent.CLOSED_AFTER_ANSWER, "");
         inputClosed = true;
         lastAnswerSent = true;
         stalledSinceUs = clock.nowUs();
@@ -502,6 +539,7 @@
     @Override
     public void exceptionCaught(final ChannelHandlerContext ctx, final Throwable cause) {
         if (!(cause instanceof IOException)) {
+            logEnd(ClientEvent.CLOSED_BY_FAILURE, String.valueOf(cause));
             Log.failure("connection of a client", cause);
         }
         ctx.close();
--- a/src/main/java/driftchute/node/ClientServer.java
+++ b/src/main/java/driftchute/node/ClientServer.java
@@ -95,6 +95,7 @@
      */
     private final int[] closedForCapacity = new int[ClientConnection.IN_USE + 1];
 
+    private long connectionNumber;
     private int slowRequests;
     private int acceptFailures;
     private long capacityLoggedUs;
@@ -130,6 +131,11 @@
         return stoppingSinceUs;
     }
 
+    /** The number of a new connection, from 1. */
+    long nextConnectionNumber() {
+        return ++connectionNumber;
+    }
+
     /** A connection was accepted; another may have to be closed for it. */
     void add(final ClientConnection connection) {
         connections.add(connection);
@@ -258,10 +264,10 @@
                 connection.readPending();
             }
             if (connection.isIdle()) {
-                connection.closeIdle();
+                connection.closeIdle(ClientEvent.CLOSED_AT_EXIT);
                 idle++;
             } else if (connection.isReceiving()) {
-                connection.reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+                connection.reject(HttpResponseStatus.SERVICE_UNAVAILABLE, ClientEvent.CLOSED_AT_EXIT);
                 incomplete++;
             }
         }
@@ -283,23 +289,32 @@
         drainedSinceUs = isDraining() ? Math.min(drainedSinceUs, nowUs) : Long.MAX_VALUE;
         final long idleUs = idleTimeoutUs(nowUs);
         logClosedConnections(nowUs);
+        host.events().logCounts(nowUs, this::memoryUse);
         reservedIds.removeExpired(nowUs);
         for (final ClientConnection connection : List.copyOf(connections)) {
             if (connection.isReceivingSince(nowUs - REQUEST_TIMEOUT_US)) {
                 slowRequests++;
-                connection.reject(HttpResponseStatus.REQUEST_TIMEOUT);
+                connection.reject(HttpResponseStatus.REQUEST_TIMEOUT, ClientEvent.REJECTED_TOO_SLOW);
             } else if (connection.isStalledSince(nowUs - REQUEST_TIMEOUT_US)) {
-                connection.closeNow();
+                connection.closeNow(ClientEvent.CLOSED_NOT_READING);
             } else if (connection.isIdle()
                     && connection.idleSinceUs() <= nowUs - (connection.isTrusted() ? idleUs : REQUEST_TIMEOUT_US)) {
                 connection.readPending();
                 if (connection.isIdle()) {
-                    connection.closeIdle();
+                    connection.closeIdle(ClientEvent.CLOSED_IDLE);
                 }
             }
         }
     }
 
+    private RequestMemoryUse memoryUse() {
+        return new RequestMemoryUse(
+                connections.size(),
+                connections.stream().filter(ClientConnection::isReceiving).count(),
+                buffers.usedBytes(),
+                reservedIds.size());
+    }
+
     private void logClosedConnections(final long nowUs) {
         if (nowUs - capacityLoggedUs < CROWDED_LOG_INTERVAL_US
                 || slowRequests + acceptFailures == 0
@@ -372,7 +387,7 @@
 
     private void drop(final ClientConnection least) {
         closedForCapacity[least.usefulness(clock.nowUs() - CROWDED_IDLE_TIMEOUT_US)]++;
-        least.closeNow();
+        least.closeNow(ClientEvent.CLOSED_FOR_CAPACITY);
     }
 
     /**
--- a/src/main/java/driftchute/node/DeliveryService.java
+++ b/src/main/java/driftchute/node/DeliveryService.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -110,6 +111,7 @@
     private final Discovery discovery;
     private final StoredList storedList;
     private final NoticeSender noticeSender;
+    private final ClientEventLog events = new ClientEventLog();
     private final Map<String, OpenMessage> messages = new LinkedHashMap<>();
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<Long, List<CallItem>> outbox = new LinkedHashMap<>();
@@ -528,6 +530,10 @@
         return discovery.hasListed(endpoint);
     }
 
+    ClientEventLog events() {
+        return events;
+    }
+
     EndpointClient endpoints() {
         return endpoints;
     }
@@ -556,6 +562,10 @@
         if (isFinal) {
             complete(message);
         } else if (continues) {
+            events.record(
+                    ClientEvent.CALL_TO_RETRY,
+                    0,
+                    message.journaled.id + " " + outcome.result().name().toLowerCase(Locale.ROOT));
             recordOutcome(message.journaled, outcome.result().neverExecuted());
         }
         schedulePass();
--- a/src/main/java/driftchute/node/Log.java
+++ b/src/main/java/driftchute/node/Log.java
@@ -11,8 +11,8 @@
 import java.util.logging.Logger;
 
 /**
- * The log on standard error: one JSON object per line for each event that matters to an operator or a checker, none for
- * single messages. Every line has {@code t_ms} (Unix time, ms), {@code mono_us} (this process's monotonic clock, us, to
+ * The log on standard error: one JSON object per line for each event that matters to an operator or a checker; events of
+ * single messages are limited ({@link ClientEventLog}). Every line has {@code t_ms} (Unix time, ms), {@code mono_us} (this process's monotonic clock, us, to
  * order its own lines), {@code proc} (the configured name, {@code "-"} before it is read) and {@code event}; free text
  * is in {@code msg}. A failure's stack trace follows its line as plain text.
  */
--- a/src/main/java/driftchute/node/RequestBuffers.java
+++ b/src/main/java/driftchute/node/RequestBuffers.java
@@ -18,6 +18,11 @@
         return true;
     }
 
+    /** Reserved memory, bytes. */
+    int usedBytes() {
+        return usedBytes;
+    }
+
     /** Gives back what was reserved. */
     void release(final int bytes) {
         usedBytes -= bytes;
--- a/src/main/java/driftchute/node/ReservedIds.java
+++ b/src/main/java/driftchute/node/ReservedIds.java
@@ -17,6 +17,11 @@
         return untilUs.getOrDefault(id, 0L) > nowUs;
     }
 
+    /** Number of reserved ids. */
+    int size() {
+        return untilUs.size();
+    }
+
     /** Forgets the ids whose time is over. */
     void removeExpired(final long nowUs) {
         untilUs.values().removeIf(until -> until <= nowUs);
