--- a/src/test/java/driftchute/fleet/CourierProcess.java
+++ b/src/test/java/driftchute/fleet/CourierProcess.java
@@ -33,7 +33,7 @@
     final List<String> log = new CopyOnWriteArrayList<>();
 
     private final Path folder;
-    private final String config;
+    private String config;
     private Process process;
 
     CourierProcess(final String name, final Path folder, final String config) throws IOException {
@@ -58,6 +58,34 @@
         return new CourierProcess(this);
     }
 
+    /** Replaces a part of the configuration that it is started with. */
+    void configure(final String part, final String by) {
+        assertTrue(config.contains(part), part);
+        config = config.replace(part, by);
+    }
+
+    /** Its peak resident memory, bytes; 0 if it is gone. */
+    long peakMemoryBytes() {
+        return memoryBytes("VmHWM:");
+    }
+
+    /** Its present resident memory, bytes; 0 if it is gone. */
+    long residentMemoryBytes() {
+        return memoryBytes("VmRSS:");
+    }
+
+    private long memoryBytes(final String field) {
+        try {
+            return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                    .filter(line -> line.startsWith(field))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) << 10)
+                    .findFirst()
+                    .orElse(0);
+        } catch (final IOException e) {
+            return 0;
+        }
+    }
+
     /** Sends a command to its management address, and reads the answer line. */
     String call(final String line) throws IOException {
         final String told = log.stream()
--- a/src/test/java/driftchute/fleet/Fleet.java
+++ b/src/test/java/driftchute/fleet/Fleet.java
@@ -139,9 +139,14 @@
 
     /** Starts every courier and waits until each answers {@code GET /up} with 200. */
     void startAll() throws IOException {
+        startAll(List.of());
+    }
+
+    /** The same, by a program that replaces itself by the run line. */
+    void startAll(final List<String> starter) throws IOException {
         paths.release();
         for (final CourierProcess courier : couriers) {
-            courier.start(discovery());
+            courier.start(discovery(), starter);
         }
         for (final CourierProcess courier : couriers) {
             await(courier.name + " up", courier::isUp, courier::state);
--- a/src/test/java/driftchute/node/CourierHarness.java
+++ b/src/test/java/driftchute/node/CourierHarness.java
@@ -160,6 +160,10 @@
         return before;
     }
 
+    int port() {
+        return port;
+    }
+
     int mgmtPort() {
         return mgmtPort;
     }
