A message that is withdrawn before its call is written is not sent

Seen: a client sent many requests and left; requests whose 202 could not be sent any more were called all the same. Cause: the decision to send is carried out after the answers of a pass. A failed answer withdraws the message, but its call was already decided, and a call that waited for a connection was not looked at. Change: what was withdrawn is reported as not sent instead of being called; a withdrawal gives back a call that is not completely written; the last check before the write asks again. Why it works: no path from the decision to the first byte passes without the check, and the outcome frees the slot.

--- a/src/main/java/driftchute/node/DeliveryService.java
+++ b/src/main/java/driftchute/node/DeliveryService.java
@@ -363,7 +363,9 @@
             return false;
         }
         // Checking may just have ended the call.
-        return call.items().stream().allMatch(item -> item.message().call == call && !isKeyExpired(item))
+        return call.items().stream()
+                        .allMatch(
+                                item -> item.message().call == call && !item.message().finished && !isKeyExpired(item))
                 && isRecorded(call);
     }
 
@@ -497,6 +499,9 @@
         if (message != null) {
             complete(message);
             control.onWithdrawn(clock.nowUs(), id);
+            if (message.call != null) {
+                endpoints.giveBackIfUnwritten(message.call);
+            }
             schedulePass();
         } else if (unresumed.remove(id) != null || handingOver) {
             journal.complete(id);
@@ -637,7 +642,14 @@
         }
     }
 
-    private void sendAll(final long endpoint, final List<CallItem> items) {
+    private void sendAll(final long endpoint, final List<CallItem> decided) {
+        final List<CallItem> items =
+                decided.stream().filter(item -> !item.message().finished).toList();
+        // A message may have been withdrawn after the decision, when the answer to its client could not be sent.
+        decided.stream()
+                .filter(item -> item.message().finished)
+                .map(item -> endpoints.prepare(endpoint, List.of(item)))
+                .forEach(call -> loop.execute(() -> endpoints.abandon(call, Courier.Result.NOT_SENT)));
         final int messagesPerCall = Math.max(1, discovery.messagesPerCall(endpoint));
         for (int from = 0; from < items.size(); from += messagesPerCall) {
             final List<CallItem> batch = items.subList(from, Math.min(items.size(), from + messagesPerCall));
--- a/src/main/java/driftchute/node/EndpointClient.java
+++ b/src/main/java/driftchute/node/EndpointClient.java
@@ -445,6 +445,11 @@
         abandonUnwritten(call -> true);
     }
 
+    /** Ends a call that is not completely written, because a message of it was withdrawn. */
+    void giveBackIfUnwritten(final Call call) {
+        abandonUnwritten(other -> other == call);
+    }
+
     private void abandonUnwritten(final Predicate<Call> condition) {
         List.copyOf(calls).stream()
                 .filter(call -> !call.written && condition.test(call))
