An id that was accepted is not accepted again after a kill or at the other process

Seen: an id that came again after its client had left was accepted and run a second time, after a kill and at the next process of an upgrade. Cause: the ids that may not come again were kept in the memory of one process, until 1 s after their deadline, one map entry with its text for each accepted message: without a bound when messages come at full speed. They stay reserved until 10 s after the deadline. On disk the latest to end are kept, within a tenth of a file. Why it works: whoever accepts a message has read every record that the same courier wrote about accepted ones.

--- a/src/main/java/driftchute/node/ClientConnection.java
+++ b/src/main/java/driftchute/node/ClientConnection.java
@@ -50,8 +50,6 @@
     private static final int MAX_READ_AHEAD_BYTES = 1 << 16;
 
     private static final long REFUSED_RETRY_AFTER_US = 500_000;
-    /** Time after a message's deadline in which its id is not accepted again. Its last call is over by then. */
-    private static final long ID_RESERVED_US = 1_000_000;
 
     private static final double US_PER_SECOND = 1_000_000;
 
@@ -59,7 +57,6 @@
     private final Clock clock;
     private final DeliveryService host;
     private final RequestBuffers buffers;
-    private final ReservedIds reservedIds;
     private final ClientEventLog events;
     /** Number of this connection in the log. */
     private final long number;
@@ -110,7 +107,6 @@
         this.clock = server.clock();
         this.host = server.host();
         this.buffers = server.buffers();
-        this.reservedIds = server.reservedIds();
         this.events = host.events();
         this.number = server.nextConnectionNumber();
         this.idleFromUs = clock.nowUs();
@@ -470,7 +466,7 @@
         }
         // The call of a message that has just ended or was withdrawn may still be in flight, and the two could not
         // be told apart.
-        if (host.isOpen(id) || reservedIds.isReserved(id, clock.nowUs())) {
+        if (host.isOpen(id) || host.isReserved(id)) {
             events.record(ClientEvent.REFUSED_REPEATED_ID, number, id);
             answer(HttpResponseStatus.CONFLICT, 0);
             return;
@@ -485,7 +481,6 @@
                 new DeliveryService.Reply() {
                     @Override
                     public void accepted() {
-                        reservedIds.reserve(id, validUntilUs + ID_RESERVED_US);
                         // A client that never receives this answer does not count on it, so its message is
                         // withdrawn.
                         answer(HttpResponseStatus.valueOf(ACCEPTED), 0).addListener(done -> {
--- a/src/main/java/driftchute/node/ClientServer.java
+++ b/src/main/java/driftchute/node/ClientServer.java
@@ -77,7 +77,7 @@
     private int maxConnections;
     private final Set<ClientConnection> connections = new HashSet<>();
     private final RequestBuffers buffers = new RequestBuffers(MAX_BUFFERED_BODY_BYTES);
-    private final ReservedIds reservedIds = new ReservedIds();
+    private int reservedIds;
 
     private ServerSocketChannel listenerSocket;
     private Channel listener;
@@ -122,10 +122,6 @@
         return buffers;
     }
 
-    ReservedIds reservedIds() {
-        return reservedIds;
-    }
-
     /** When the process began to stop without a successor; {@code Long.MIN_VALUE} while it is running. */
     long stoppingSinceUs() {
         return stoppingSinceUs;
@@ -290,7 +286,7 @@
         final long idleUs = idleTimeoutUs(nowUs);
         logClosedConnections(nowUs);
         host.events().logCounts(nowUs, this::memoryUse);
-        reservedIds.removeExpired(nowUs);
+        reservedIds = host.removeExpiredIds();
         for (final ClientConnection connection : List.copyOf(connections)) {
             if (connection.isReceivingSince(nowUs - REQUEST_TIMEOUT_US)) {
                 slowRequests++;
@@ -312,7 +308,7 @@
                 connections.size(),
                 connections.stream().filter(ClientConnection::isReceiving).count(),
                 buffers.usedBytes(),
-                reservedIds.size());
+                reservedIds);
     }
 
     private void logClosedConnections(final long nowUs) {
--- a/src/main/java/driftchute/node/DeliveryService.java
+++ b/src/main/java/driftchute/node/DeliveryService.java
@@ -463,6 +463,16 @@
         return messages.containsKey(id) || journal.isOpen(id);
     }
 
+    /** True if a message of that id was accepted so recently that its call may still be executed. */
+    boolean isReserved(final String id) {
+        return journal.isReserved(id, clock.wallUs());
+    }
+
+    /** Forgets the reserved ids whose time is over; returns how many are left. */
+    int removeExpiredIds() {
+        return journal.removeExpiredIds(clock.wallUs());
+    }
+
     /** False for a destination that, as far as is known, does not exist. */
     boolean isKnownDestination(final long destination) {
         return discovery.knows(destination);
@@ -708,10 +718,16 @@
     }
 
     private void complete(final OpenMessage message) {
+        // Calls begin only after the answer to the client.
+        final boolean wasAccepted = message.reply == null;
         message.finished = true;
         message.reply = null;
         messages.remove(message.journaled.id);
-        journal.complete(message.journaled);
+        if (wasAccepted) {
+            journal.complete(message.journaled);
+        } else {
+            journal.discard(message.journaled);
+        }
     }
 
     @Override
--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -12,6 +12,7 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -51,6 +52,12 @@
     private static final int RESERVED_BYTES = 256;
 
     private static final int RECORDS_PER_MESSAGE = 3;
+    /** Share of a file that reserved ids may use at its compaction; the latest to end are kept. */
+    private static final double RESERVED_SHARE = 0.1;
+
+    private static final int RESERVED_ID_BYTES = 2 * Long.BYTES;
+    /** Maximum number of ids in a record, which the reader bounds. */
+    private static final int MAX_RESERVED_PER_RECORD = 4096;
 
     static final byte ACCEPTED = 1;
     static final byte ATTEMPT_BEGUN = 2;
@@ -65,6 +72,8 @@
     static final byte HEADER = 7;
     /** Time up to which an ending process has recorded the outcomes of all its calls. Older code skips it as well. */
     static final byte RECORDED_UNTIL = 8;
+    /** Ids that are not accepted again until a time of their own, by hash. Older code skips it. */
+    static final byte RESERVED_IDS = 9;
     /** The format that this code writes, and the latest that it reads. */
     static final int VERSION = 2;
 
@@ -75,6 +84,8 @@
     /** Messages completed here while a predecessor's file may still contain them. */
     private final Set<String> completed = new HashSet<>();
 
+    private final ReservedIds reservedIds = new ReservedIds();
+
     private Path path;
     private ProcessLock lock;
     private long maxFileBytes;
@@ -219,6 +230,7 @@
             fileSize = file.size();
         }
         open.putAll(reader.openMessages());
+        reader.reservedIds().forEach(reservedIds::reserve);
         openBytes = open.values().stream().mapToLong(Journal::bytes).sum();
         if (!predecessors.isEmpty()) {
             completed.addAll(reader.completed());
@@ -265,7 +277,7 @@
                 if (predecessor.poll()) {
                     takeOver(predecessor, update);
                 }
-                if (predecessor.isGone() && !incomplete) {
+                if (predecessor.isGone() && recordReservedIds(predecessor)) {
                     predecessor.remove();
                     predecessors.remove(predecessor);
                     removeUnfinished();
@@ -282,6 +294,7 @@
 
     private void takeOver(final PredecessorJournal predecessor, final PredecessorUpdate update) {
         final JournalReader reader = predecessor.reader();
+        reader.reservedIds().forEach(reservedIds::reserve);
         for (final Courier.DestinationState state : predecessor.takeStates()) {
             update.states().add(state.withCallsInFlight(predecessorCalls(state.destination())));
         }
@@ -300,6 +313,12 @@
         completed.addAll(reader.completed());
     }
 
+    /** Records the ids that an earlier process reserved, before its file is removed; false if that failed. */
+    private boolean recordReservedIds(final PredecessorJournal predecessor) {
+        reservedRecords(predecessor.reader().reservedIds()).forEach(this::append);
+        return !incomplete;
+    }
+
     /** Records a message of an earlier process as this process's, with its attempts. It cannot be refused. */
     private void adopt(final JournaledMessage message) {
         final JournaledMessage before = open.put(message.id, message);
@@ -369,16 +388,29 @@
         return open.containsKey(id) || predecessors.stream().anyMatch(predecessor -> predecessor.isOpen(id));
     }
 
+    /** True if a message of that id was accepted so recently that its call may still be executed. */
+    boolean isReserved(final String id, final long nowWallUs) {
+        return reservedIds.isReserved(id, nowWallUs);
+    }
+
+    /** Forgets the reserved ids whose time is over; returns how many are left. */
+    int removeExpiredIds(final long nowWallUs) {
+        reservedIds.removeExpired(nowWallUs);
+        return reservedIds.size();
+    }
+
     /** Records an accepted message. Returns false, and accepts nothing, if there is no space for it. */
     boolean accept(final JournaledMessage message) {
         final long bytes = bytes(message);
         if (open.containsKey(message.id)
+                || reservedIds.isFull()
                 || openBytes + bytes > MESSAGE_SHARE * maxFileBytes
                 || !append(acceptedRecord(message))) {
             return false;
         }
         open.put(message.id, message);
         openBytes += bytes;
+        reservedIds.reserve(ReservedIds.hash(message.id), message.idReservedUntilWallUs());
         return true;
     }
 
@@ -416,14 +448,43 @@
 
     /** Records that the message of that id is completed. */
     void complete(final String id) {
+        complete(id, false);
+    }
+
+    /** Records that a message was not accepted after all and never sent: its id may be accepted again. */
+    void discard(final JournaledMessage message) {
+        complete(message.id, true);
+        reservedIds.release(ReservedIds.hash(message.id));
+    }
+
+    private void complete(final String id, final boolean discarded) {
         final JournaledMessage message = open.remove(id);
         if (message != null) {
             openBytes -= bytes(message);
             if (!predecessors.isEmpty()) {
                 completed.add(id);
             }
-            append(record(COMPLETED, id, out -> {}));
+            append(record(COMPLETED, id, out -> out.writeBoolean(discarded)));
+        }
+    }
+
+    /** Records of reserved ids, the latest to end first, as many as have space. */
+    private List<ByteBuffer> reservedRecords(final ReservedIds ids) {
+        final List<long[]> entries = new ArrayList<>();
+        ids.forEach((hash, until) -> entries.add(new long[] {hash, until}));
+        entries.sort(Comparator.comparingLong((long[] entry) -> entry[1]).reversed());
+        final int count = (int) Math.min(entries.size(), RESERVED_SHARE * maxFileBytes / RESERVED_ID_BYTES);
+        final List<ByteBuffer> records = new ArrayList<>();
+        for (int from = 0; from < count; from += MAX_RESERVED_PER_RECORD) {
+            final List<long[]> part = entries.subList(from, Math.min(count, from + MAX_RESERVED_PER_RECORD));
+            records.add(record(RESERVED_IDS, "", out -> {
+                for (final long[] entry : part) {
+                    out.writeLong(entry[0]);
+                    out.writeLong(entry[1]);
+                }
+            }));
         }
+        return records;
     }
 
     private void reserveDescriptor() {
@@ -572,6 +633,9 @@
         long written = 0;
         try {
             written = copy(fresh, header(), written);
+            for (final ByteBuffer record : reservedRecords(reservedIds)) {
+                written = copy(fresh, record, written);
+            }
             for (final JournaledMessage message : open.values()) {
                 for (final ByteBuffer record : records(message)) {
                     written = copy(fresh, record, written);
@@ -579,7 +643,9 @@
             }
             for (final String id : completed) {
                 // A new message of that id may have been accepted since, which is still open.
-                written = open.containsKey(id) ? written : copy(fresh, record(COMPLETED, id, out -> {}), written);
+                written = open.containsKey(id)
+                        ? written
+                        : copy(fresh, record(COMPLETED, id, out -> out.writeBoolean(false)), written);
             }
             Files.move(next, path, StandardCopyOption.ATOMIC_MOVE);
         } catch (final IOException e) {
--- a/src/main/java/driftchute/node/JournalReader.java
+++ b/src/main/java/driftchute/node/JournalReader.java
@@ -46,6 +46,7 @@
     private int version = 1;
 
     private long recordedUntilWallUs = NEVER_RECORDED;
+    private final ReservedIds reservedIds = new ReservedIds();
 
     JournalReader(final FileChannel file) {
         this.file = file;
@@ -125,6 +126,11 @@
         return completed;
     }
 
+    /** Ids that may not be accepted again yet: of the messages in the file, and of earlier ones. */
+    ReservedIds reservedIds() {
+        return reservedIds;
+    }
+
     /** The destination states read since the last call. */
     List<Courier.DestinationState> takeStates() {
         final List<Courier.DestinationState> all = List.copyOf(states);
@@ -147,11 +153,20 @@
         if (type == Journal.HEADER) {
             version = in.readInt();
         } else if (type == Journal.ACCEPTED) {
-            open.put(id, readAccepted(id, in));
+            final JournaledMessage accepted = readAccepted(id, in);
+            open.put(id, accepted);
             completed.remove(id);
+            reservedIds.reserve(ReservedIds.hash(id), accepted.idReservedUntilWallUs());
         } else if (type == Journal.COMPLETED) {
             open.remove(id);
             completed.add(id);
+            if (in.available() > 0 && in.readBoolean()) {
+                reservedIds.release(ReservedIds.hash(id));
+            }
+        } else if (type == Journal.RESERVED_IDS) {
+            while (in.available() > 0) {
+                reservedIds.reserve(in.readLong(), in.readLong());
+            }
         } else if (type == Journal.RECORDED_UNTIL) {
             recordedUntilWallUs = in.readLong();
         } else if (type == Journal.DESTINATION_STATE) {
--- a/src/main/java/driftchute/node/JournaledMessage.java
+++ b/src/main/java/driftchute/node/JournaledMessage.java
@@ -9,6 +9,8 @@
 final class JournaledMessage {
     static final long NEVER = Long.MAX_VALUE;
     private static final byte[] NOTHING = {};
+    /** Time after a message's deadline in which its id is not accepted again, also by another process. */
+    private static final long ID_RESERVED_US = 10_000_000;
 
     final String id;
     final String className;
@@ -43,6 +45,11 @@
         this.body = body;
     }
 
+    /** Until when its id is not accepted again. */
+    long idReservedUntilWallUs() {
+        return validUntilWallUs + ID_RESERVED_US;
+    }
+
     void beginAttempt(final long wallUs, final String zone) {
         attempts++;
         attemptBegunWallUs = wallUs;
