A client that closes an idle connection is not logged

Change: only connections that end with something unanswered or for a reason of the courier's are logged.

--- a/src/main/java/driftchute/node/ClientConnection.java
+++ b/src/main/java/driftchute/node/ClientConnection.java
@@ -192,7 +192,9 @@
 
     @Override
     public void channelInactive(final ChannelHandlerContext ctx) {
-        logEnd(ClientEvent.CLOSED_BY_CLIENT, currentId == null ? "" : currentId);
+        if (current != null || !queue.isEmpty() || isReceiving()) {
+            logEnd(ClientEvent.CLOSED_BY_CLIENT, currentId == null ? "" : currentId);
+        }
         server.remove(this);
         buffers.release(body.size() + queuedBytes + undecodedBytes);
         queuedBytes = 0;
@@ -232,6 +234,7 @@
         if (isReceiving()) {
             reject(HttpResponseStatus.BAD_REQUEST, ClientEvent.REJECTED_UNSOUND);
         } else {
+            endLogged = true;
             closeIdle(ClientEvent.CLOSED_BY_CLIENT);
         }
     }
--- a/src/main/java/driftchute/node/ClientEvent.java
+++ b/src/main/java/driftchute/node/ClientEvent.java
@@ -8,7 +8,7 @@
     CLOSED_NOT_READING("closed_not_reading"),
     /** There were too many connections, or no descriptor was left. */
     CLOSED_FOR_CAPACITY("closed_for_capacity"),
-    /** The client closed or reset the connection. */
+    /** The client closed or reset the connection before it had all its answers. */
     CLOSED_BY_CLIENT("closed_by_client"),
     /** The connection failed with an exception of this process. */
     CLOSED_BY_FAILURE("closed_by_failure"),
