A client that sends at full speed takes turns and does not delay the others

Seen: while one client sent small or unsound requests on one connection at full speed, others waited 430 to 681 ms for their answers on half of a core; a client waits 400 ms. Cause: a turn of the event loop decoded and served all that one read of 16 KB held, up to 900 requests, before any other connection was looked at, and the next turn read 16 KB more. Change: a connection has 64 units of work in a turn (a decoded part 1, a request 8). What is left waits in a queue of turns that gets 2 ms of each turn of the event loop, round robin, and such a connection is read only when its turn comes. A request that waits for a turn keeps its time-out. At the exit, requests that were read and not submitted are refused and their answers sent before the process ends. Why it works: work per turn is bounded whatever one client sends, and a connection with little to do never waits for one with much.

--- a/src/main/java/driftchute/node/ClientConnection.java
+++ b/src/main/java/driftchute/node/ClientConnection.java
@@ -46,6 +46,10 @@
     /** Maximum number of complete requests queued on one connection. Further requests stay unread until then. */
     private static final int MAX_QUEUED_REQUESTS = 16;
 
+    /** Work that a connection may cause in one turn of the event loop: steps of decoding, and requests served. */
+    private static final int WORK_PER_TURN = 64;
+
+    private static final int WORK_PER_REQUEST = 8;
     /** Maximum memory of bytes that are read ahead of the request being served, bytes. */
     private static final int MAX_READ_AHEAD_BYTES = 1 << 16;
 
@@ -85,6 +89,14 @@
     private boolean inputClosed;
     /** The client sends nothing more. What it sent before is still answered. */
     private boolean inputEnded;
+    /** Work left in this turn of the event loop. */
+    private int workLeft = WORK_PER_TURN;
+    /** The connection goes on when its turn comes; until then it is not read. */
+    private boolean waitsForTurn;
+    /** Bytes that are read now belong to the work that has begun. */
+    private boolean readsMore;
+    /** Reading is paused until requests are answered, or answers are read. */
+    private boolean pausedForAnswers;
     /** Memory of bytes that were read and not decoded, as reserved. */
     private int undecodedBytes;
     /** The last answer has been sent. */
@@ -242,11 +254,56 @@
     @Override
     public void onBytes() {
         lastReadUs = clock.nowUs();
+        if (!readsMore && !waitsForTurn) {
+            workLeft = WORK_PER_TURN;
+        }
+    }
+
+    @Override
+    public boolean mayStep() {
+        workLeft--;
+        return workLeft >= 0;
+    }
+
+    /** Goes on in a later turn of the event loop. */
+    private void waitForTurn() {
+        if (!waitsForTurn && !lastAnswerSent) {
+            waitsForTurn = true;
+            context.channel().config().setAutoRead(false);
+            server.turns().add(this::takeTurn);
+        }
+    }
+
+    /** Does the next part of the work. A client that sends at full speed is read here, not whenever it has sent more. */
+    private void takeTurn() {
+        waitsForTurn = false;
+        if (lastAnswerSent || !context.channel().isActive()) {
+            return;
+        }
+        workLeft = WORK_PER_TURN;
+        final long before = decoder.receivedBytes();
+        resumeReading();
+        if (!waitsForTurn && !pausedForAnswers && !lastAnswerSent) {
+            readMore();
+        }
+        if (before != decoder.receivedBytes()) {
+            waitForTurn();
+        }
+    }
+
+    /** Reads what has arrived as a part of the work that has begun. */
+    private void readMore() {
+        readsMore = true;
+        readPending();
+        readsMore = false;
     }
 
     @Override
     public void onDecoded() {
         reserveUndecoded();
+        if (workLeft < 0) {
+            waitForTurn();
+        }
     }
 
     /** Reserves the memory of undecoded bytes; returns false if all requests together exceed their limit. */
@@ -361,7 +418,8 @@
     /** Serves the requests of one connection in order, so that the answers keep their order. */
     private void serveQueue() {
         final Channel channel = context.channel();
-        while (current == null && !queue.isEmpty() && !lastAnswerSent && channel.isWritable()) {
+        while (current == null && !queue.isEmpty() && !lastAnswerSent && channel.isWritable() && workLeft > 0) {
+            workLeft -= WORK_PER_REQUEST;
             current = queue.poll();
             queuedBytes -= current.body().length;
             buffers.release(current.body().length);
@@ -373,16 +431,23 @@
         if (!lastAnswerSent) {
             sendContinue();
             final boolean canRead = queue.isEmpty() && channel.isWritable();
-            if (canRead && !channel.config().isAutoRead() && requestBeganUs != Long.MAX_VALUE) {
+            if (canRead && pausedForAnswers && requestBeganUs != Long.MAX_VALUE) {
                 // Reading was paused meanwhile, so the request gets its full time again.
                 requestBeganUs = clock.nowUs();
             }
-            channel.config().setAutoRead(canRead);
+            pausedForAnswers = !canRead;
+            channel.config().setAutoRead(canRead && !waitsForTurn);
+            if (current == null && !queue.isEmpty() && channel.isWritable()) {
+                waitForTurn();
+            }
         }
     }
 
     /** Continues after an answer with the next request, and decodes what was read but had to wait. */
     private void resumeReading() {
+        if (waitsForTurn) {
+            return;
+        }
         serveQueue();
         decoder.decodeRest();
         endAfterInput();
@@ -442,7 +507,7 @@
                 return false;
             }
             before = decoder.receivedBytes();
-            readPending();
+            readMore();
         }
         return true;
     }
--- a/src/main/java/driftchute/node/ClientServer.java
+++ b/src/main/java/driftchute/node/ClientServer.java
@@ -79,6 +79,7 @@
     private final RequestBuffers buffers = new RequestBuffers(MAX_BUFFERED_BODY_BYTES);
     private int reservedIds;
 
+    private TurnQueue turns;
     private ServerSocketChannel listenerSocket;
     private Channel listener;
     /** When an operator's drain was first noticed; {@code Long.MAX_VALUE} without a drain. */
@@ -118,6 +119,10 @@
         return host;
     }
 
+    TurnQueue turns() {
+        return turns;
+    }
+
     RequestBuffers buffers() {
         return buffers;
     }
@@ -145,6 +150,7 @@
 
     /** Listens on the configured address. {@code /up} is answered from then on. */
     ChannelFuture listen(final EventLoopGroup group, final EventLoop loop) throws IOException {
+        turns = new TurnQueue(loop, clock);
         listenerSocket = ServerSocketChannel.open();
         // The next process of this courier listens beside this one before this one stops.
         listenerSocket.setOption(StandardSocketOptions.SO_REUSEPORT, true);
@@ -254,9 +260,11 @@
         int idle = 0;
         int incomplete = 0;
         for (final ClientConnection connection : List.copyOf(connections)) {
-            if (connection.isIdle()) {
-                // Requests that arrived meanwhile are answered, but it is too late to accept them.
-                connection.refuseRequests();
+            final boolean wasIdle = connection.isIdle();
+            // Requests that were not submitted yet, or arrive meanwhile, are answered, but it is too late to accept
+            // them.
+            connection.refuseRequests();
+            if (wasIdle) {
                 connection.readPending();
             }
             if (connection.isIdle()) {
--- a/src/main/java/driftchute/node/Main.java
+++ b/src/main/java/driftchute/node/Main.java
@@ -293,7 +293,8 @@
                     if (done.getAsBoolean() || clock.nowUs() >= stopUs) {
                         intake.endConnections();
                         host.endRemainingCalls();
-                        stopped.countDown();
+                        // The answers to what was just read are sent before the process ends.
+                        loop.execute(() -> loop.execute(stopped::countDown));
                     }
                 },
                 STOP_CHECK_MS,
--- a/src/main/java/driftchute/node/RequestDecoder.java
+++ b/src/main/java/driftchute/node/RequestDecoder.java
@@ -40,6 +40,9 @@
 
         /** False while bytes already read must wait undecoded. */
         boolean canDecode();
+
+        /** Counts a step of decoding; false if this turn of the event loop allows no more. */
+        boolean mayStep();
     }
 
     private final Listener listener;
@@ -93,6 +96,9 @@
 
     @Override
     protected void decode(final ChannelHandlerContext ctx, final ByteBuf in, final List<Object> out) throws Exception {
+        if (!listener.mayStep()) {
+            return;
+        }
         if (!inRequest) {
             // Empty lines before a request are not part of it (RFC 9112, 2.2).
             in.skipBytes(countLineBreaks(in));
