--- a/src/main/java/driftchute/node/Journal.java
+++ b/src/main/java/driftchute/node/Journal.java
@@ -272,26 +272,50 @@
     /** Reads more of the files of earlier processes, and records the messages taken over from them. */
     PredecessorUpdate pollPredecessors() {
         final PredecessorUpdate update = new PredecessorUpdate(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
-        for (final PredecessorJournal predecessor : List.copyOf(predecessors)) {
+        // All are read before anything is taken over: a later one may have a message of an earlier one in flight.
+        final List<PredecessorJournal> read = new ArrayList<>();
+        final List<PredecessorJournal> withNews = new ArrayList<>();
+        for (final PredecessorJournal predecessor : predecessors) {
             try {
                 if (predecessor.poll()) {
-                    takeOver(predecessor, update);
-                }
-                if (predecessor.isGone() && recordReservedIds(predecessor)) {
-                    predecessor.remove();
-                    predecessors.remove(predecessor);
-                    removeUnfinished();
+                    withNews.add(predecessor);
                 }
+                read.add(predecessor);
             } catch (final IOException e) {
                 Log.info("journal: cannot read the journal of an earlier process: " + e.getMessage());
             }
         }
+        withNews.forEach(predecessor -> takeOver(predecessor, update));
+        read.forEach(this::removeIfGone);
         if (predecessors.isEmpty()) {
             completed.clear();
         }
         return update;
     }
 
+    private void removeIfGone(final PredecessorJournal predecessor) {
+        if (!predecessor.isGone() || !recordReservedIds(predecessor)) {
+            return;
+        }
+        try {
+            predecessor.remove();
+            predecessors.remove(predecessor);
+            removeUnfinished();
+        } catch (final IOException e) {
+            Log.info("journal: cannot remove the journal of an earlier process: " + e.getMessage());
+        }
+    }
+
+    /** True if another earlier process has progressed further with a message, or has completed it. */
+    private boolean isSuperseded(final JournaledMessage message, final PredecessorJournal in) {
+        return predecessors.stream()
+                .filter(other -> other != in)
+                .map(PredecessorJournal::reader)
+                .anyMatch(other -> other.completed().contains(message.id)
+                        || other.openMessages().containsKey(message.id)
+                                && other.openMessages().get(message.id).isAheadOf(message));
+    }
+
     private void takeOver(final PredecessorJournal predecessor, final PredecessorUpdate update) {
         final JournalReader reader = predecessor.reader();
         reader.reservedIds().forEach(reservedIds::reserve);
@@ -303,6 +327,7 @@
             // A message with a call in flight belongs to the earlier process until that has ended the call or is gone.
             final boolean free = !message.isInFlight() || predecessor.isGone();
             if (free
+                    && !isSuperseded(message, predecessor)
                     && !completed.contains(message.id)
                     && (ownCopy == null || message != ownCopy && message.isAheadOf(ownCopy))) {
                 adopt(message);
--- a/src/test/java/driftchute/node/JournalCrossingTest.java
+++ b/src/test/java/driftchute/node/JournalCrossingTest.java
@@ -50,6 +50,31 @@
         }
     }
 
+    @Test
+    void aMessageThatTheSecondOfThreeProcessesHasInFlightIsNotTakenOverFromTheFirst() throws IOException {
+        try (Journal first = Journal.open(folder, DISK_BYTES)) {
+            assertTrue(first.accept(held("m1", 50)) && first.accept(held("m2", 50)));
+            first.handOver(List.of());
+            try (Journal second = Journal.open(folder, DISK_BYTES)) {
+                final List<JournaledMessage> taken = second.pollPredecessors().takenOver();
+                assertEquals(2, taken.size());
+                taken.forEach(message -> assertTrue(second.beginAttempt(message, 1000, "a")));
+                second.handOver(List.of());
+                try (Journal third = Journal.open(folder, DISK_BYTES)) {
+                    assertEquals(List.of(), third.pollPredecessors().takenOver());
+                    second.complete(taken.get(0));
+                    second.endAttempt(taken.get(1), true);
+                    assertEquals(
+                            List.of("m2"),
+                            third.pollPredecessors().takenOver().stream()
+                                    .map(message -> message.id)
+                                    .toList());
+                    assertEquals(List.of("m2"), ids(third));
+                }
+            }
+        }
+    }
+
     // ---------------------------------------------------------------- a kill in a compaction
 
     /**
