A client that reads slowly is not closed as one that does not read

Cause: a connection counted as not read for as long as it was not writable, which takes half of 64 KB of unsent answers to end, although the client read all the time. Change: every look in which the system has taken more of the answers begins the 2 s anew; such a connection still is among the first closed when there are too many. Why it works: the time-out is for clients that read nothing, and progress of the send buffer shows reading. Measured: ClosePipelinedTest passed 4 of 4, FloodTest, BadClientTest, RepeatedIdTest passed.

--- a/src/main/java/driftchute/node/ClientConnection.java
+++ b/src/main/java/driftchute/node/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -109,6 +110,8 @@
     private boolean refusing;
     /** Since when the client has not read its answers; {@code Long.MAX_VALUE} if it does. */
     private long stalledSinceUs = Long.MAX_VALUE;
+    /** Answers that the system had not taken when this was last looked at, bytes. */
+    private long unsentBytes;
     /** Since when the connection has been idle, and since when a request has been arriving. */
     private long idleFromUs;
 
@@ -705,6 +708,16 @@
         return requestBeganUs <= beforeUs && !inputClosed;
     }
 
+    /** Notices whether the system has taken more of the answers: then the client reads, however slowly. */
+    void observeProgress() {
+        final ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+        final long bytes = unsent == null ? 0 : unsent.totalPendingWriteBytes();
+        if (bytes < unsentBytes && stalledSinceUs != Long.MAX_VALUE && !lastAnswerSent) {
+            stalledSinceUs = clock.nowUs();
+        }
+        unsentBytes = bytes;
+    }
+
     /** True if the client has not read its answers since before that time. */
     boolean isStalledSince(final long beforeUs) {
         return stalledSinceUs <= beforeUs;
--- a/src/main/java/driftchute/node/ClientServer.java
+++ b/src/main/java/driftchute/node/ClientServer.java
@@ -330,6 +330,7 @@
         host.events().logCounts(nowUs, this::memoryUse);
         reservedIds = host.removeExpiredIds();
         for (final ClientConnection connection : List.copyOf(connections)) {
+            connection.observeProgress();
             if (connection.isReceivingSince(nowUs - REQUEST_TIMEOUT_US)) {
                 slowRequests++;
                 connection.reject(HttpResponseStatus.REQUEST_TIMEOUT, ClientEvent.REJECTED_TOO_SLOW);
