--- a/src/main/java/driftchute/node/RequestDecoder.java
+++ b/src/main/java/driftchute/node/RequestDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -19,6 +20,12 @@
     private static final int MAX_LINE_BYTES = 2048;
     private static final int MAX_HEAD_BYTES = 8192;
 
+    /** The fields of a request that are read (PROTOCOL-irishead.md, Clients to couriers). */
+    private static final HttpHeadersFactory HEADERS = SelectedHeaders.keeping(
+            "X-Request-ID", "X-Priority-Class", "X-Timeout-Ms", "X-Consignee", "Idempotency-Key", "Expect");
+
+    private static final HttpHeadersFactory TRAILERS = SelectedHeaders.keeping();
+
     /** Callbacks of the connection while requests arrive. */
     interface Listener {
         /** Bytes have arrived. */
@@ -42,6 +49,8 @@
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEAD_BYTES)
+                .setHeadersFactory(HEADERS)
+                .setTrailersFactory(TRAILERS)
                 .setAllowDuplicateContentLengths(false)
                 .setStrictLineParsing(true)
                 .setUseRfc9112TransferEncoding(true));
--- a/src/main/java/driftchute/node/ResponseDecoder.java
+++ b/src/main/java/driftchute/node/ResponseDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -31,6 +32,12 @@
 
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
 
+    /** The fields of an answer that are read (PROTOCOL-irishead.md, Couriers to endpoints). */
+    private static final HttpHeadersFactory HEADERS =
+            SelectedHeaders.keeping("Retry-After", "X-Line-Busy", "X-Server-Load");
+
+    private static final HttpHeadersFactory TRAILERS = SelectedHeaders.keeping();
+
     /** Receives the events. */
     interface Listener {
         /** Bytes of an answer have arrived. */
@@ -55,6 +62,8 @@
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEAD_BYTES)
+                .setHeadersFactory(HEADERS)
+                .setTrailersFactory(TRAILERS)
                 .setAllowDuplicateContentLengths(false)
                 .setStrictLineParsing(true)
                 .setUseRfc9112TransferEncoding(true));
