--- a/src/main/java/driftchute/node/ClientConnection.java
+++ b/src/main/java/driftchute/node/ClientConnection.java
@@ -50,6 +50,8 @@
     private static final int WORK_PER_TURN = 64;
 
     private static final int WORK_PER_REQUEST = 8;
+    /** Memory of a body that is arriving, as a multiple of its bytes: its array grows by doubling. */
+    private static final int BODY_MEMORY_FACTOR = 2;
     /** Maximum memory of bytes that are read ahead of the request being served, bytes. */
     private static final int MAX_READ_AHEAD_BYTES = 1 << 16;
 
@@ -97,8 +99,8 @@
     private boolean readsMore;
     /** Reading is paused until requests are answered, or answers are read. */
     private boolean pausedForAnswers;
-    /** Memory of bytes that were read and not decoded, as reserved. */
-    private int undecodedBytes;
+    /** Memory that is reserved for the requests of this connection, bytes. */
+    private int reservedBytes;
     /** The last answer has been sent. */
     private boolean lastAnswerSent;
     /** Why this connection ends is logged. */
@@ -208,11 +210,10 @@
             logEnd(ClientEvent.CLOSED_BY_CLIENT, currentId == null ? "" : currentId);
         }
         server.remove(this);
-        buffers.release(body.size() + queuedBytes + undecodedBytes);
         queuedBytes = 0;
-        undecodedBytes = 0;
         body = new ByteArrayOutputStream(0);
         queue.clear();
+        updateReservation();
         if (currentId != null) {
             withdraw(currentId);
         }
@@ -300,17 +301,23 @@
 
     @Override
     public void onDecoded() {
-        reserveUndecoded();
+        updateReservation();
         if (workLeft < 0) {
             waitForTurn();
         }
     }
 
-    /** Reserves the memory of undecoded bytes; returns false if all requests together exceed their limit. */
-    private boolean reserveUndecoded() {
-        final int before = undecodedBytes;
-        undecodedBytes = lastAnswerSent ? 0 : decoder.undecodedMemory();
-        return buffers.resize(before, undecodedBytes);
+    /**
+     * Reserves what the requests of this connection take now; returns false if all connections together take too much.
+     * The undecoded bytes of one read count only beyond that, so that a small request needs nothing.
+     */
+    private boolean updateReservation() {
+        final int before = reservedBytes;
+        final int undecoded = Math.max(0, decoder.undecodedMemory() - ClientServer.MAX_READ_BYTES);
+        reservedBytes = lastAnswerSent || !context.channel().isActive()
+                ? 0
+                : BODY_MEMORY_FACTOR * body.size() + queuedBytes + undecoded;
+        return buffers.resize(before, reservedBytes);
     }
 
     @Override
@@ -377,13 +384,13 @@
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, ClientEvent.REJECTED_UNSOUND);
                 return;
             }
-            if (!buffers.reserve(length)) {
-                reject(HttpResponseStatus.SERVICE_UNAVAILABLE, ClientEvent.REFUSED_NO_MEMORY);
-                return;
-            }
             final byte[] bytes = new byte[length];
             content.content().readBytes(bytes);
             body.writeBytes(bytes);
+            if (!updateReservation() && !server.freeRequestMemory(this)) {
+                reject(HttpResponseStatus.SERVICE_UNAVAILABLE, ClientEvent.REFUSED_NO_MEMORY);
+                return;
+            }
             if (part instanceof LastHttpContent) {
                 enqueueRequest();
             }
@@ -422,7 +429,7 @@
             workLeft -= WORK_PER_REQUEST;
             current = queue.poll();
             queuedBytes -= current.body().length;
-            buffers.release(current.body().length);
+            updateReservation();
             serve(current);
         }
         if (current == null && queue.isEmpty() && rejectionStatus != null && !lastAnswerSent) {
@@ -503,7 +510,7 @@
     private boolean readAhead() {
         long before = -1;
         while (before != decoder.receivedBytes() && !inputEnded && !inputClosed) {
-            if (decoder.undecodedMemory() >= MAX_READ_AHEAD_BYTES || !reserveUndecoded()) {
+            if (decoder.undecodedMemory() >= MAX_READ_AHEAD_BYTES || !updateReservation()) {
                 return false;
             }
             before = decoder.receivedBytes();
@@ -618,8 +625,9 @@
         rejectionStatus = status;
         inputClosed = true;
         readingBody = false;
-        buffers.release(body.size());
+        head = null;
         body = new ByteArrayOutputStream(0);
+        updateReservation();
         if (current == null && queue.isEmpty()) {
             sendRejection();
         }
@@ -650,13 +658,12 @@
         inputClosed = true;
         lastAnswerSent = true;
         stalledSinceUs = clock.nowUs();
-        buffers.release(queuedBytes);
         queuedBytes = 0;
         queue.clear();
         if (!decoder.isRemoved()) {
             context.pipeline().remove(decoder);
         }
-        reserveUndecoded();
+        updateReservation();
         LingeringClose.after(written);
         return written;
     }
@@ -676,6 +683,16 @@
         ctx.close();
     }
 
+    /** Memory that is reserved for the requests of this connection, bytes. */
+    int reservedBytes() {
+        return reservedBytes;
+    }
+
+    /** True if it holds nothing but a request that is still arriving. */
+    boolean isOnlyReceiving() {
+        return isReceiving() && current == null && queue.isEmpty() && reservedBytes > 0;
+    }
+
     /** True if a request has begun to arrive and is neither complete nor rejected. */
     boolean isReceiving() {
         return requestBeganUs != Long.MAX_VALUE && !inputClosed;
--- a/src/main/java/driftchute/node/ClientServer.java
+++ b/src/main/java/driftchute/node/ClientServer.java
@@ -30,10 +30,12 @@
  * request that cannot be read or used is answered with a 4xx status and not accepted. Every request gets an answer.
  */
 final class ClientServer {
-    /** Maximum size of all bodies that are being received or queued, over all connections, bytes. */
-    private static final int MAX_BUFFERED_BODY_BYTES = 1 << 22;
+    /** Share of the courier's memory for all requests that are being received or queued. */
+    private static final double REQUEST_MEMORY_SHARE = 0.02;
+    /** A client that has sent nothing for so long is the first whose incomplete request is refused for memory, us. */
+    private static final long SILENT_US = 200_000;
     /** Maximum size of one read from a connection, bytes, so that a client that floods does not delay the others. */
-    private static final int MAX_READ_BYTES = 1 << 14;
+    static final int MAX_READ_BYTES = 1 << 13;
     /** Size of the send buffer, bytes. A larger one would long hide that a client does not read its answers. */
     private static final int SEND_BUFFER_BYTES = 1 << 16;
 
@@ -64,8 +66,10 @@
     private static final long DEREGISTER_DELAY_MS = 2;
     /** Share of the descriptors for client connections. */
     private static final double SOCKET_SHARE = 0.4;
+    /** The same for connections whose requests are refused because there are too many. */
+    private static final double REFUSED_SOCKET_SHARE = 0.05;
     /**
-     * The same for a process that is being replaced: its successor has the full share for clients, and each of the two
+     * The share of a process that is being replaced: its successor has the full share for clients, and each of the two
      * has a fifth for calls ({@link DeliveryService}). Together they stay within the courier's sockets (DEPLOY-irishead.md).
      */
     private static final double HANDOVER_SOCKET_SHARE = 0.15;
@@ -76,7 +80,7 @@
     private final OperatorOrders orders;
     private int maxConnections;
     private final Set<ClientConnection> connections = new HashSet<>();
-    private final RequestBuffers buffers = new RequestBuffers(MAX_BUFFERED_BODY_BYTES);
+    private final RequestBuffers buffers;
     private int reservedIds;
 
     private TurnQueue turns;
@@ -106,6 +110,7 @@
         this.clock = clock;
         this.host = host;
         this.orders = orders;
+        this.buffers = new RequestBuffers((long) (REQUEST_MEMORY_SHARE * config.memoryBytes()));
         // Not halved while two processes share the descriptors: clients may use a third of them, and may all connect at
         // once.
         this.maxConnections = (int) Math.max(1, SOCKET_SHARE * config.sockets());
@@ -143,6 +148,26 @@
         enforceMaxConnections(connection);
     }
 
+    /**
+     * Refuses incomplete requests of other clients until all together take no more memory than allowed: those that
+     * stopped first, then the largest. Returns false if there is no other to refuse.
+     */
+    boolean freeRequestMemory(final ClientConnection requester) {
+        final long silentBeforeUs = clock.nowUs() - SILENT_US;
+        while (buffers.isExceeded()) {
+            final Optional<ClientConnection> largest = connections.stream()
+                    .filter(ClientConnection::isOnlyReceiving)
+                    .max(Comparator.comparing(
+                                    (ClientConnection connection) -> connection.silentSinceUs() < silentBeforeUs)
+                            .thenComparingInt(ClientConnection::reservedBytes));
+            if (largest.isEmpty() || largest.get() == requester) {
+                return false;
+            }
+            largest.get().reject(HttpResponseStatus.SERVICE_UNAVAILABLE, ClientEvent.REFUSED_NO_MEMORY);
+        }
+        return true;
+    }
+
     /** A connection was closed. */
     void remove(final ClientConnection connection) {
         connections.remove(connection);
@@ -351,14 +376,25 @@
 
     /**
      * Closes a connection if there are too many: first rejected ones, then those that never sent a request, then those
-     * with an incomplete request (the one silent longest first), then those idle for long, and otherwise the newest.
+     * with an incomplete request (the one silent longest first), then those idle for long. Otherwise the requests of the
+     * newest are refused, or it is closed if there are too many of these as well.
      */
     private void enforceMaxConnections(final ClientConnection newest) {
-        if (connections.size() > maxConnections && !dropLeastUseful(newest)) {
+        if (connections.size() <= maxConnections || dropLeastUseful(newest)) {
+            return;
+        }
+        if (connections.size() <= maxConnections + maxRefusedConnections()) {
+            newest.refuseRequests();
+        } else {
             drop(newest);
         }
     }
 
+    /** Connections beyond the maximum whose requests are refused. None while two processes share the descriptors. */
+    private int maxRefusedConnections() {
+        return host.sharesDescriptors() ? 0 : (int) (REFUSED_SOCKET_SHARE * config.sockets());
+    }
+
     /**
      * Closes the least useful connection. Returns false if all are in use, possibly by a request that had not been read
      * yet.
--- a/src/main/java/driftchute/node/Config.java
+++ b/src/main/java/driftchute/node/Config.java
@@ -34,6 +34,7 @@
         Path state,
         long seed,
         int sockets,
+        long memoryBytes,
         long diskBytes,
         JsonNode known,
         Courier.Settings settings,
@@ -43,6 +44,9 @@
     private static final int MAX_PORT = 65_535;
     private static final int HEX = 16;
     private static final long BYTES_PER_MB = 1_000_000;
+    /** Memory of a scored day (DEPLOY-irishead.md, Limits). */
+    private static final long DEFAULT_MEMORY_MB = 192;
+
     private static final String SOURCE = "configuration";
 
     /** The reason why a courier cannot start. */
@@ -121,6 +125,7 @@
                     Path.of(fields.text("state")),
                     seed(fields.text("seed", "0")),
                     (int) positive(fields, "limits.sockets", 1024),
+                    positive(fields, "limits.memory_mb", DEFAULT_MEMORY_MB) * BYTES_PER_MB,
                     positive(fields, "limits.disk_mb", 1) * BYTES_PER_MB,
                     root.path("known"),
                     SettingsReader.read(settings),
--- a/src/main/java/driftchute/node/DeliveryService.java
+++ b/src/main/java/driftchute/node/DeliveryService.java
@@ -407,7 +407,12 @@
 
     /** Descriptors available for calls. Two processes of one courier share them. */
     int descriptors() {
-        return journal.hasPredecessors() || handingOver ? config.sockets() / 2 : config.sockets();
+        return sharesDescriptors() ? config.sockets() / 2 : config.sockets();
+    }
+
+    /** True while two processes of this courier share its descriptors. */
+    boolean sharesDescriptors() {
+        return journal.hasPredecessors() || handingOver;
     }
 
     private void logStatus() {
