--- a/src/test/java/driftchute/fleet/ClientMemoryIT.java
+++ b/src/test/java/driftchute/fleet/ClientMemoryIT.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -19,6 +20,9 @@
     /** The least memory that the pages name, 32 MB (TERMS-irishead.md), and the 64 MB that a JVM may be given more. */
     private static final int MEMORY_MB = 96;
 
+    /** The memory that the configuration of the harness names. */
+    private static final int UPGRADE_MEMORY_MB = 192;
+
     private static final int CLIENTS = 500;
     private static final int BYTES_PER_MB = 1 << 20;
     private static final long CROWD_NS = TimeUnit.SECONDS.toNanos(6);
@@ -55,6 +59,39 @@
         }
     }
 
+    /** Both processes together have the memory of one courier (next/1/LATER.md, Upgrades). */
+    @Test
+    void twoProcessesOfAnUpgradeInACrowdDoNotExceedTheMemoryLimit(@TempDir final Path folder) throws Exception {
+        try (Fleet fleet = new Fleet(folder, 1, 2, 1)) {
+            final CourierProcess old = fleet.couriers.get(0);
+            fleet.startAll();
+            long peakBytes = 0;
+            try (CourierProcess next = old.beside();
+                    SlowClients crowd = new SlowClients(old.port, SlowClients.Kind.MOST_OF_A_BODY, CLIENTS)) {
+                crowd.start();
+                next.start(fleet.discovery());
+                Fleet.await("standing by", () -> !next.events("stands_by").isEmpty(), next::state);
+                peakBytes = peakUntil(old, next, TimeUnit.SECONDS.toNanos(2));
+                old.signal("TERM");
+                peakBytes = Math.max(peakBytes, peakUntil(old, next, CROWD_NS));
+                assertTrue(next.isAlive() && !old.isAlive(), () -> old.state() + next.state());
+            }
+            System.out.printf("{\"event\":\"upgrade_memory\",\"peak_mb\":%d}%n", peakBytes / BYTES_PER_MB);
+            assertTrue(peakBytes <= (long) UPGRADE_MEMORY_MB * BYTES_PER_MB, peakBytes + " bytes");
+        }
+    }
+
+    /** The peak of both processes' resident memory together. */
+    private static long peakUntil(final CourierProcess old, final CourierProcess next, final long lengthNs) {
+        final long untilNs = System.nanoTime() + lengthNs;
+        long peakBytes = 0;
+        while (System.nanoTime() < untilNs) {
+            peakBytes = Math.max(peakBytes, old.residentMemoryBytes() + next.residentMemoryBytes());
+            LockSupport.parkNanos(PAUSE_NS);
+        }
+        return peakBytes;
+    }
+
     /** Sound clients' requests while the crowd is there. */
     private static void submitMeanwhile(final CourierProcess courier, final RequestLog answers) {
         final long untilNs = System.nanoTime() + CROWD_NS;
