--- a/src/main/java/driftchute/node/ClientServer.java
+++ b/src/main/java/driftchute/node/ClientServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -39,6 +40,9 @@
     /** Size of the send buffer, bytes. A larger one would long hide that a client does not read its answers. */
     private static final int SEND_BUFFER_BYTES = 1 << 16;
 
+    /** Maximum size of answers that a connection's send buffer did not take before it stops being served, bytes. */
+    private static final int MAX_UNSENT_BYTES = 1 << 14;
+
     private static final int BACKLOG = 256;
     /**
      * Maximum time for a request to arrive completely, for a new connection to begin one, and for a client to read its
@@ -193,6 +197,9 @@
                 })
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
+                .childOption(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
                 .childOption(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(MAX_READ_BYTES / 16, MAX_READ_BYTES / 8, MAX_READ_BYTES)
--- a/src/main/java/driftchute/node/EndpointClient.java
+++ b/src/main/java/driftchute/node/EndpointClient.java
@@ -469,7 +469,10 @@
 
         private AnswerHead head;
         private boolean keepAlive;
+        /** The body of an answer to several messages. */
         private ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+        private int bodyBytes;
         /** Time-out of an answer that has begun. */
         private Future<?> answerTimeout;
 
@@ -500,6 +503,7 @@
             statusLine = null;
             head = null;
             body = new ByteArrayOutputStream(0);
+            bodyBytes = 0;
             context.writeAndFlush(requestOf(call)).addListener(done -> {
                 if (done.isSuccess()) {
                     next.written = true;
@@ -549,7 +553,7 @@
                 return;
             }
             if (part instanceof HttpContent content) {
-                if (body.size() + content.content().readableBytes() > MAX_BODY_BYTES) {
+                if (bodyBytes + content.content().readableBytes() > MAX_BODY_BYTES) {
                     onBroken(Result.ERROR);
                     return;
                 }
@@ -643,6 +647,11 @@
         }
 
         private void read(final ByteBuf content) {
+            bodyBytes += content.readableBytes();
+            if (!call.hasSeveralMessages()) {
+                // The body means nothing (PROTOCOL-irishead.md, Couriers to endpoints).
+                return;
+            }
             try {
                 content.readBytes(body, content.readableBytes());
             } catch (final IOException e) {
--- a/src/main/java/driftchute/node/Log.java
+++ b/src/main/java/driftchute/node/Log.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.util.internal.OutOfDirectMemoryError;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.logging.Handler;
@@ -92,9 +93,15 @@
         System.err.println(text);
     }
 
-    /** Logs an unexpected exception with its stack trace. */
+    /**
+     * Logs an unexpected exception with its stack trace. An error of the virtual machine ends the process; a buffer that
+     * Netty could not allocate concerns one connection only, which its caller closes.
+     */
     static void failure(final String what, final Throwable cause) {
         event("failure", "msg", what, "cause", String.valueOf(cause));
+        if (cause instanceof OutOfDirectMemoryError) {
+            return;
+        }
         cause.printStackTrace();
         if (cause instanceof VirtualMachineError) {
             // After that nothing can be trusted, so the process ends; the next one resumes.
--- a/src/test/java/driftchute/fleet/ClientMemoryIT.java
+++ b/src/test/java/driftchute/fleet/ClientMemoryIT.java
@@ -23,6 +23,9 @@
     /** The memory that the configuration of the harness names. */
     private static final int UPGRADE_MEMORY_MB = 192;
 
+    /** Less than the crowd needs. */
+    private static final int FEW_BUFFER_BYTES = 1_000_000;
+
     private static final int CLIENTS = 500;
     private static final int BYTES_PER_MB = 1 << 20;
     private static final long CROWD_NS = TimeUnit.SECONDS.toNanos(6);
@@ -59,6 +62,20 @@
         }
     }
 
+    @Test
+    void buffersThatCannotBeAllocatedEndConnectionsAndNotTheProcess(@TempDir final Path folder) throws IOException {
+        try (Fleet fleet = new Fleet(folder, 1, 2, 1)) {
+            final CourierProcess courier = fleet.couriers.get(0);
+            fleet.startAll(List.of("env", "JAVA_TOOL_OPTIONS=-Dio.netty.maxDirectMemory=" + FEW_BUFFER_BYTES));
+            try (SlowClients crowd = new SlowClients(courier.port, SlowClients.Kind.UNFINISHED_FIELD, CLIENTS)) {
+                crowd.start();
+                submitMeanwhile(courier, new RequestLog());
+            }
+            assertTrue(courier.isAlive(), courier::state);
+            Fleet.await("an answer after it", courier::isUp, courier::state);
+        }
+    }
+
     /** Both processes together have the memory of one courier (next/1/LATER.md, Upgrades). */
     @Test
     void twoProcessesOfAnUpgradeInACrowdDoNotExceedTheMemoryLimit(@TempDir final Path folder) throws Exception {
--- a/src/test/java/driftchute/fleet/SlowClients.java
+++ b/src/test/java/driftchute/fleet/SlowClients.java
@@ -25,6 +25,8 @@
         SHORT_FIELDS(request("", shortFields()), HEAD_BYTES),
         /** As many bytes in few long fields. */
         LONG_FIELDS(request("", ("a:" + "x".repeat(1500) + "\r\n").repeat(5)), HEAD_BYTES),
+        /** A field that does not end. */
+        UNFINISHED_FIELD(request("", "a:" + "x".repeat(7000)), HEAD_BYTES),
         /** A head of very many short fields with its end, and a body that does not come. */
         SHORT_FIELDS_BEFORE_A_BODY(request("Content-Length: 5\r\n", shortFields() + "\r\n"), HEAD_BYTES),
         /** A chunked body with very many short trailer fields that do not end. */
