--- a/src/main/java/driftchute/node/ClientServer.java
+++ b/src/main/java/driftchute/node/ClientServer.java
@@ -72,6 +72,8 @@
     private static final double SOCKET_SHARE = 0.4;
     /** The same for connections whose requests are refused because there are too many. */
     private static final double REFUSED_SOCKET_SHARE = 0.05;
+
+    private static final double HANDOVER_REFUSED_SOCKET_SHARE = 0.02;
     /**
      * The share of a process that is being replaced: its successor has the full share for clients, and each of the two
      * has a fifth for calls ({@link DeliveryService}). Together they stay within the courier's sockets (DEPLOY-irishead.md).
@@ -237,7 +239,7 @@
         stopping = true;
         handingOver = true;
         maxConnections = (int) Math.max(1, HANDOVER_SOCKET_SHARE * config.sockets());
-        while (connections.size() > maxConnections && dropLeastUseful(null)) {
+        while (connections.size() > maxServedConnections() && dropLeastUseful(null)) {
             // Connections in use stay open: there are no more of them than clients, and clients move to the next
             // process one by one.
             continue;
@@ -387,19 +389,24 @@
      * newest are refused, or it is closed if there are too many of these as well.
      */
     private void enforceMaxConnections(final ClientConnection newest) {
-        if (connections.size() <= maxConnections || dropLeastUseful(newest)) {
+        if (connections.size() <= maxServedConnections() || dropLeastUseful(newest)) {
             return;
         }
-        if (connections.size() <= maxConnections + maxRefusedConnections()) {
+        if (connections.size() <= maxServedConnections() + maxRefusedConnections()) {
             newest.refuseRequests();
         } else {
             drop(newest);
         }
     }
 
-    /** Connections beyond the maximum whose requests are refused. None while two processes share the descriptors. */
+    /** While two processes share the descriptors, those whose requests are refused are a part of the maximum. */
+    private int maxServedConnections() {
+        return Math.max(1, host.sharesDescriptors() ? maxConnections - maxRefusedConnections() : maxConnections);
+    }
+
     private int maxRefusedConnections() {
-        return host.sharesDescriptors() ? 0 : (int) (REFUSED_SOCKET_SHARE * config.sockets());
+        final double share = host.sharesDescriptors() ? HANDOVER_REFUSED_SOCKET_SHARE : REFUSED_SOCKET_SHARE;
+        return (int) (share * config.sockets());
     }
 
     /**
