--- a/src/main/java/driftchute/node/ClientConnection.java
+++ b/src/main/java/driftchute/node/ClientConnection.java
@@ -466,9 +466,7 @@
             answer(HttpResponseStatus.SERVICE_UNAVAILABLE, REFUSED_RETRY_AFTER_US);
             return;
         }
-        final String uri = request.head().uri();
-        final int query = uri.indexOf('?');
-        final String path = query < 0 ? uri : uri.substring(0, query);
+        final String path = request.path();
         if (path.equals("/up")) {
             if (!request.head().method().equals(HttpMethod.GET)) {
                 rejectUnsound(HttpResponseStatus.METHOD_NOT_ALLOWED);
@@ -477,7 +475,11 @@
             }
             return;
         }
-        final String className = path.substring(Math.min(path.length(), 1)).split("/", 2)[0];
+        if (!request.isProper()) {
+            rejectUnsound(HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        final String className = path.substring(1).split("/", 2)[0];
         final Courier.MessageClass messageClass = host.messageClass(className);
         if (messageClass == null) {
             rejectUnsound(HttpResponseStatus.NOT_FOUND);
--- a/src/main/java/driftchute/node/ClientRequest.java
+++ b/src/main/java/driftchute/node/ClientRequest.java
@@ -1,6 +1,8 @@
 package driftchute.node;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 
 /**
  * A request that has arrived completely, and the meaning of its header fields.
@@ -14,6 +16,20 @@
 
     private static final long US_PER_MS = 1000;
 
+    /** The path of its target, without a query. */
+    String path() {
+        final String uri = head.uri();
+        final int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    /** True if it is of HTTP/1.1, names a path, and has one Host field (RFC 9112, 3.2). */
+    boolean isProper() {
+        return head.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && head.uri().startsWith("/")
+                && head.headers().getAll(HttpHeaderNames.HOST).size() == 1;
+    }
+
     /**
      * Time for which a message read now may be delivered, us. The client's time-out runs from the moment of sending,
      * and the message may have waited unread for nearly as long as a client waits for an answer. Without a margin its
--- a/src/main/java/driftchute/node/RequestDecoder.java
+++ b/src/main/java/driftchute/node/RequestDecoder.java
@@ -23,7 +23,7 @@
 
     /** The fields of a request that are read (PROTOCOL-irishead.md, Clients to couriers). */
     private static final HttpHeadersFactory HEADERS = SelectedHeaders.keeping(
-            "X-Request-ID", "X-Priority-Class", "X-Timeout-Ms", "X-Consignee", "Idempotency-Key", "Expect");
+            "Host", "X-Request-ID", "X-Priority-Class", "X-Timeout-Ms", "X-Consignee", "Idempotency-Key", "Expect");
 
     private static final HttpHeadersFactory TRAILERS = SelectedHeaders.keeping();
 
--- a/src/test/java/driftchute/node/BadClientTest.java
+++ b/src/test/java/driftchute/node/BadClientTest.java
@@ -105,6 +105,22 @@
         assertOnlyGoodOneArrives();
     }
 
+    @Test
+    void anImproperRequestIsRejectedAndNotSentOn() throws IOException {
+        final String good = CourierHarness.message("improper", "safe");
+        final List<String> bad = List.of(
+                good.replace("HTTP/1.1", "HTTP/9.9"),
+                good.replace("HTTP/1.1", "HTTP/1.0"),
+                good.replace("POST /safe", "POST xsafe"),
+                good.replace("Host: backend.local\r\n", ""),
+                good.replace("Host: backend.local\r\n", "Host: a.local\r\nHost: b.local\r\n"));
+        for (final String raw : bad) {
+            final String said = tell(raw);
+            assertTrue(said.startsWith("HTTP/1.1 4"), said + " for " + raw);
+        }
+        assertOnlyGoodOneArrives();
+    }
+
     @Test
     void aMessageForAnUnknownDestinationIsRefused() throws IOException {
         assertTrue(tell(CourierHarness.message("m1", "safe").replace("dest=7", "dest=8"))
